Rename the module to example.org/milletvane

The module path is all that changes; the hash seeds, which spell the old name, stay as they are, since other seeds would reshuffle every key.

--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -10,8 +10,8 @@
 	"os"
 	"runtime/debug"
 
-	"example.org/masthub/internal/wire"
-	"example.org/masthub/rules"
+	"example.org/milletvane/internal/wire"
+	"example.org/milletvane/rules"
 )
 
 func main() {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"example.org/masthub/rules"
+	"example.org/milletvane/rules"
 )
 
 // create reads the line that starts an instance. Its settings are path=value pairs.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -13,7 +13,7 @@
 	"strings"
 	"time"
 
-	"example.org/masthub/rules"
+	"example.org/milletvane/rules"
 )
 
 // Event is one line of a batch for one instance. Exactly one of Start, Stop and Rules is set.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"example.org/masthub/rules"
+	"example.org/milletvane/rules"
 )
 
 const ms = time.Millisecond
--- a/rules/example_test.go
+++ b/rules/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"example.org/masthub/rules"
+	"example.org/milletvane/rules"
 )
 
 // A host feeds a Balancer its events, each with the time, and carries out the actions.
