--- /dev/null
+++ b/Makefile
@@ -0,0 +1,15 @@
+.PHONY: build test lint run
+
+build:
+	mkdir -p bin && go build -o bin/ ./cmd/...
+
+# The tests that CI runs.
+test: lint
+	go test -race -count=1 ./...
+
+lint:
+	@unformatted=$$(gofmt -l .); if [ -n "$$unformatted" ]; then echo "gofmt would change: $$unformatted" >&2; exit 1; fi
+	go vet ./...
+
+run: build
+	exec bin/milletvane
--- /dev/null
+++ b/config/config.go
@@ -0,0 +1,197 @@
+// Package config is the one place where a gateway's configuration is read, checked and given defaults.
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"example.org/milletvane/internal/discovery"
+	"example.org/milletvane/internal/settings"
+	"example.org/milletvane/rules"
+)
+
+// The environment's keys.
+const (
+	EnvName      = "PROXY_NAME"
+	EnvListen    = "PROXY_LISTEN"
+	EnvDiscovery = "PROXY_DISCOVERY"
+	EnvFile      = "PROXY_CONFIG"
+)
+
+// Defaults for what the configuration leaves out.
+const (
+	DefaultMemoryMB    = 192
+	DefaultSockets     = 1024
+	DefaultCores       = 1.0
+	defaultLongestWait = 3 * time.Second
+)
+
+const (
+	ownSockets = 48 // for the listener, discovery, epoll, logs and connections that are on their way out
+	minSockets = ownSockets + 16
+	drainMost  = 3 * time.Second        // a longer deadline is taken as this when the platform ends a program,
+	drainMore  = 500 * time.Millisecond // and a client that comes late still has its answer
+)
+
+// Limits are what the program may use.
+type Limits struct {
+	Cores    float64
+	MemoryMB int
+	Sockets  int
+}
+
+// Connections is how many clients may be held at once: each has a connection to its server too.
+func (l Limits) Connections() int { return (l.Sockets - ownSockets) / 2 }
+
+// Config is a checked configuration.
+type Config struct {
+	Name      string
+	Listen    string
+	Discovery string
+	Limits    Limits
+	Known     *discovery.Members // the list as last held; nil: none
+	Rules     rules.Settings
+	Node      settings.Node
+	Drain     time.Duration // from a planned stop to the end
+}
+
+// file is the form of the JSON.
+type file struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Seed      string `json:"seed"`
+	Limits    struct {
+		Cores    *float64 `json:"cores"`
+		MemoryMB *int     `json:"memory_mb"`
+		Sockets  *int     `json:"sockets"`
+	} `json:"limits"`
+	Known    json.RawMessage `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+}
+
+// Load reads the configuration: the file that the environment names, over which the environment's own
+// values go. An error names the faulty key.
+func Load(getenv func(string) string) (*Config, error) {
+	var text []byte
+	if path := getenv(EnvFile); path != "" {
+		var err error
+		if text, err = os.ReadFile(path); err != nil {
+			return nil, fmt.Errorf("%s: %w", EnvFile, err)
+		}
+	}
+	return Parse(text, getenv)
+}
+
+// Parse reads a configuration from JSON, which may be empty, and the environment.
+func Parse(text []byte, getenv func(string) string) (*Config, error) {
+	var f file
+	if len(text) > 0 {
+		if err := json.Unmarshal(text, &f); err != nil {
+			var wrong *json.UnmarshalTypeError
+			if errors.As(err, &wrong) {
+				return nil, fmt.Errorf("%s: %s is not %s", wrong.Field, wrong.Value, wrong.Type)
+			}
+			return nil, fmt.Errorf("%s: %w", EnvFile, err)
+		}
+	}
+	c := &Config{
+		Name: pick(getenv(EnvName), f.Name), Listen: pick(getenv(EnvListen), f.Listen),
+		Discovery: pick(getenv(EnvDiscovery), f.Discovery),
+	}
+	if c.Name == "" {
+		c.Name = "milletvane"
+	}
+	if err := address("listen ("+EnvListen+")", c.Listen); err != nil {
+		return nil, err
+	}
+	if err := address("discovery ("+EnvDiscovery+")", c.Discovery); err != nil {
+		return nil, err
+	}
+	c.Limits = Limits{
+		Cores: value(f.Limits.Cores, DefaultCores), MemoryMB: value(f.Limits.MemoryMB, DefaultMemoryMB),
+		Sockets: value(f.Limits.Sockets, DefaultSockets),
+	}
+	switch {
+	case !(c.Limits.Cores > 0):
+		return nil, fmt.Errorf("limits.cores: %v is not above 0", c.Limits.Cores)
+	case c.Limits.MemoryMB < 16:
+		return nil, fmt.Errorf("limits.memory_mb: %d is under 16", c.Limits.MemoryMB)
+	case c.Limits.Sockets < minSockets:
+		return nil, fmt.Errorf("limits.sockets: %d is under %d", c.Limits.Sockets, minSockets)
+	}
+	if given(f.Known) {
+		known, err := discovery.Parse(f.Known)
+		if err != nil {
+			return nil, fmt.Errorf("known: %w", err)
+		}
+		c.Known = known
+	}
+	return c, c.settings(f)
+}
+
+func (c *Config) settings(f file) error {
+	pairs := settings.Pairs{}
+	if given(f.Settings) {
+		var err error
+		if pairs, err = settings.Flatten(f.Settings); err != nil {
+			return fmt.Errorf("settings: %w", err)
+		}
+	}
+	set, err := pairs.Rules()
+	if err != nil {
+		return fmt.Errorf("settings.%w", err)
+	}
+	if f.Seed != "" {
+		if set.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+			return fmt.Errorf("seed: %q is not 64 bits of hex", f.Seed)
+		}
+	}
+	if _, err := rules.New(*set); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	c.Rules = *set
+	if c.Node, err = pairs.Node(); err != nil {
+		return fmt.Errorf("settings.%w", err)
+	}
+	if c.Node.LongestWait <= 0 {
+		c.Node.LongestWait = defaultLongestWait
+	}
+	c.Drain = min(c.Node.LongestWait, drainMost) + drainMore
+	return nil
+}
+
+func given(raw json.RawMessage) bool { return len(raw) > 0 && string(raw) != "null" }
+
+func pick(first, second string) string {
+	if first != "" {
+		return first
+	}
+	return second
+}
+
+func value[T any](p *T, otherwise T) T {
+	if p != nil {
+		return *p
+	}
+	return otherwise
+}
+
+func address(key, addr string) error {
+	if addr == "" {
+		return fmt.Errorf("%s: is missing", key)
+	}
+	_, port, err := net.SplitHostPort(addr)
+	if err == nil {
+		_, err = strconv.ParseUint(port, 10, 16)
+	}
+	if err != nil {
+		return fmt.Errorf("%s: %q is not host:port", key, addr)
+	}
+	return nil
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,103 @@
+// Package gateway is a balancer as a library: New takes a checked configuration and Run serves until its
+// context is done.
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"log"
+	"sync"
+	"time"
+
+	"example.org/milletvane/config"
+	"example.org/milletvane/internal/backend"
+	"example.org/milletvane/internal/discovery"
+	"example.org/milletvane/internal/engine"
+	"example.org/milletvane/internal/front"
+	"example.org/milletvane/rules"
+)
+
+// Gateway is one balancer.
+type Gateway struct {
+	config  config.Config
+	logger  *log.Logger
+	engine  *engine.Engine
+	watcher *discovery.Watcher
+}
+
+// Option changes what New takes by default.
+type Option func(*Gateway)
+
+// WithLogger sets the logger; the standard one serves otherwise.
+func WithLogger(l *log.Logger) Option { return func(g *Gateway) { g.logger = l } }
+
+// New returns a gateway that has not started.
+func New(c config.Config, options ...Option) (*Gateway, error) {
+	g := &Gateway{config: c, logger: log.Default()}
+	for _, o := range options {
+		o(g)
+	}
+	balancer, err := rules.New(c.Rules)
+	if err != nil {
+		return nil, fmt.Errorf("gateway: %w", err)
+	}
+	attempts := backend.New(backend.Options{
+		ConnectTimeout: c.Node.ConnectTimeout, TellsLoad: c.Node.TellsLoad, TellsDelay: c.Node.TellsDelay,
+	})
+	g.watcher = discovery.New(c.Discovery, c.Known, g.logger)
+	g.engine = engine.New(engine.Options{
+		Limit: c.Limits.Connections(), DefaultWait: c.Node.LongestWait, AnswerSlack: c.Node.AnswerSlack,
+		Pass: c.Node.Pass, TellsDelay: c.Node.TellsDelay, SlowFrom: c.Node.MessageAim / 3, Drain: c.Drain,
+		Logger: g.logger,
+	}, balancer, attempts, g.watcher)
+	attempts.Connect(g.engine)
+	g.watcher.Connect(g.engine.Post)
+	return g, nil
+}
+
+// Run serves until ctx is done, and then until what still comes has been answered. It returns an error where
+// the address cannot be listened on or the listener breaks.
+func (g *Gateway) Run(ctx context.Context) error {
+	f, err := front.Listen(g.config.Listen, g.engine, g.logger)
+	if err != nil {
+		return fmt.Errorf("listen %s: %w", g.config.Listen, err)
+	}
+	watching, stopWatching := context.WithCancel(context.Background())
+	running, stopRunning := context.WithCancel(ctx)
+	defer stopWatching()
+	defer stopRunning()
+	var wg sync.WaitGroup
+	wg.Go(func() { g.watcher.Run(watching) })
+	broke := make(chan error, 1)
+	wg.Go(func() {
+		if err := f.Serve(); err != nil {
+			broke <- err
+			stopRunning()
+		}
+	})
+	// The rules start with the list as last held, and ask for a new one by themselves.
+	stored := engine.List{Mode: rules.Stored}
+	if g.config.Known != nil {
+		stored = g.config.Known.List(rules.Stored)
+	}
+	g.engine.Post(stored)
+	g.logger.Printf("msg=serving name=%s listen=%s discovery=%s pass=%t connections=%d",
+		g.config.Name, f.Addr(), g.config.Discovery, g.config.Node.Pass, g.config.Limits.Connections())
+	g.engine.Run(running, clock())
+	f.Close()
+	stopWatching()
+	wg.Wait()
+	select {
+	case err := <-broke:
+		return err
+	default:
+		return nil
+	}
+}
+
+// clock tells Unix time, as discovery does, but never steps back.
+func clock() func() time.Duration {
+	start := time.Now()
+	base := time.Duration(start.UnixNano())
+	return func() time.Duration { return base + time.Since(start) }
+}
--- /dev/null
+++ b/internal/discovery/members.go
@@ -0,0 +1,78 @@
+package discovery
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"example.org/milletvane/internal/engine"
+	"example.org/milletvane/rules"
+)
+
+// Members is a list of servers in discovery's form.
+type Members struct {
+	Version int64    `json:"version"`
+	Full    bool     `json:"full"`
+	Servers []Member `json:"servers"`
+}
+
+// Member is one of its entries.
+type Member struct {
+	ID        string  `json:"id"`
+	Addr      string  `json:"addr"`
+	Zone      string  `json:"zone"`
+	Kind      string  `json:"kind"`
+	Cell      int     `json:"cell"`
+	State     string  `json:"state"`
+	Weight    float64 `json:"weight"`
+	StartedMS int64   `json:"started_ms"`
+}
+
+// Parse reads a list.
+func Parse(b []byte) (*Members, error) {
+	var m Members
+	if err := json.Unmarshal(b, &m); err != nil {
+		return nil, err
+	}
+	for i, s := range m.Servers {
+		if s.ID == "" {
+			return nil, fmt.Errorf("servers[%d]: id is missing", i)
+		}
+	}
+	return &m, nil
+}
+
+// NumberOf is a server's number: the same on every balancer and after every restart, whatever lists came
+// before. An id that ends in 32 bits of hex, as s-5be2a07c, holds its number already; others are hashed.
+func NumberOf(id string) rules.ServerID {
+	if hex := id[strings.LastIndexByte(id, '-')+1:]; len(hex) == 8 {
+		if n, err := strconv.ParseUint(hex, 16, 32); err == nil {
+			return rules.ServerID(n)
+		}
+	}
+	return rules.ServerID(xxhash.Sum64String(id))
+}
+
+// List is the engine's form of the list.
+func (m *Members) List(mode rules.ListMode) engine.List {
+	l := engine.List{Mode: mode, Servers: make([]engine.Server, 0, len(m.Servers))}
+	for _, s := range m.Servers {
+		// What is in no known state wants nothing new for all that is known.
+		state := rules.Draining
+		switch s.State {
+		case "in_service":
+			state = rules.Ready
+		case "terminated":
+			state = rules.Gone
+		}
+		l.Servers = append(l.Servers, engine.Server{Name: s.ID, Addr: s.Addr, Server: rules.Server{
+			ID: NumberOf(s.ID), Zone: s.Zone, Cell: s.Cell, State: state, Capacity: s.Weight,
+			Started: time.Duration(s.StartedMS) * time.Millisecond, // the engine's clock is Unix time
+		}})
+	}
+	return l
+}
--- /dev/null
+++ b/internal/lineproto/lineproto.go
@@ -0,0 +1,245 @@
+// Package lineproto reads and writes the lines that clients, balancers and servers exchange. It does no
+// I/O: parsers work on the bytes that they are given and keep slices of them.
+package lineproto
+
+import (
+	"bytes"
+	"errors"
+	"math"
+	"strconv"
+	"time"
+)
+
+// MaxLine is the longest line, its end included.
+const MaxLine = 4 << 10
+
+// Lines of the balancer's own.
+const (
+	Pong = "PONG\r\n"
+	No   = "NO\r\n"
+	Err  = "ERR\r\n"
+	Move = "MOVE\r\n"
+)
+
+// Errors of a first line.
+var (
+	ErrTooLong   = errors.New("line too long")
+	ErrMalformed = errors.New("malformed line")
+)
+
+// maxWait bounds a client's stated wait, so that no sum of times overflows.
+const maxWait = 24 * time.Hour
+
+// Open is a client's opening line. Its slices are parts of the line.
+type Open struct {
+	Line     []byte // whole, with its end
+	ID       []byte
+	Key      []byte
+	Class    []byte
+	Group    []byte
+	Tenant   []byte
+	At       []byte        // the server that holds the connection since before the run; empty: none
+	Wait     time.Duration // that the client waits for UP, from the sending of the line; 0: not stated
+	Hint     float64       // h as written; 0: none
+	Retry    bool
+	Returned bool
+	Stray    bool
+
+	waitFrom, waitTo int // where d's value stands in Line; both 0: nowhere
+}
+
+// Kind tells first lines apart.
+type Kind int
+
+// Kinds of first lines.
+const (
+	KindOther Kind = iota
+	KindOpen
+	KindPing
+	KindStats
+)
+
+// KindOf tells what a first line asks for.
+func KindOf(line []byte) Kind {
+	word, _, _ := bytes.Cut(trimEnd(line), space)
+	switch string(word) {
+	case "OPEN":
+		return KindOpen
+	case "PING":
+		return KindPing
+	case "STATS":
+		return KindStats
+	}
+	return KindOther
+}
+
+var space = []byte{' '}
+
+// trimEnd takes off a line's end, CRLF or a bare LF.
+func trimEnd(line []byte) []byte {
+	line = bytes.TrimSuffix(line, []byte{'\n'})
+	return bytes.TrimSuffix(line, []byte{'\r'})
+}
+
+// ParseOpen reads an opening line, its end included.
+func ParseOpen(line []byte) (o Open, err error) {
+	if len(line) > MaxLine {
+		return o, ErrTooLong
+	}
+	if len(line) < 2 || line[len(line)-1] != '\n' || line[len(line)-2] != '\r' {
+		return o, ErrMalformed
+	}
+	body := line[:len(line)-2]
+	for _, c := range body {
+		if c < ' ' || c == 0x7f {
+			return o, ErrMalformed
+		}
+	}
+	word, rest, _ := bytes.Cut(body, space)
+	if string(word) != "OPEN" {
+		return o, ErrMalformed
+	}
+	o.Line = line
+	var ok bool
+	if o.ID, rest, ok = bytes.Cut(rest, space); !ok || len(o.ID) == 0 {
+		return o, ErrMalformed
+	}
+	// The list may be missing; the key may not.
+	o.Key, rest, _ = bytes.Cut(rest, space)
+	if len(o.Key) == 0 || bytes.IndexByte(rest, ' ') >= 0 {
+		return o, ErrMalformed
+	}
+	offset := len(body) - len(rest)
+	for len(rest) > 0 {
+		pair, tail, _ := bytes.Cut(rest, []byte{','})
+		name, value, ok := bytes.Cut(pair, []byte{'='})
+		if !ok || len(name) == 0 {
+			return o, ErrMalformed
+		}
+		if err := o.set(string(name), value, offset+len(name)+1); err != nil {
+			return o, err
+		}
+		offset += len(pair) + 1
+		rest = tail
+	}
+	return o, nil
+}
+
+func (o *Open) set(name string, value []byte, at int) error {
+	switch name {
+	case "c":
+		o.Class = value
+	case "g":
+		o.Group = value
+	case "t":
+		o.Tenant = value
+	case "at":
+		o.At = value
+	case "d":
+		ms, ok := number(value)
+		if !ok || o.waitTo > 0 { // given twice, it could be rewritten in one place only
+			return ErrMalformed
+		}
+		o.Wait = min(time.Duration(ms*float64(time.Millisecond)), maxWait)
+		o.waitFrom, o.waitTo = at, at+len(value)
+	case "h":
+		h, ok := number(value)
+		if !ok {
+			return ErrMalformed
+		}
+		o.Hint = h
+	case "r":
+		o.Retry = string(value) == "1"
+	case "again":
+		o.Returned = string(value) == "1"
+	case "mid":
+		o.Stray = string(value) == "1"
+	}
+	return nil
+}
+
+// number reads a plain decimal figure of 0 or more.
+func number(b []byte) (float64, bool) {
+	if len(b) == 0 || len(b) > 24 {
+		return 0, false
+	}
+	v, err := strconv.ParseFloat(string(b), 64)
+	if err != nil || !(v >= 0) || v > 1e12 || math.IsInf(v, 0) {
+		return 0, false
+	}
+	return v, true
+}
+
+// Forward appends to parts the pieces of the line as a server is to get it: only d's value is another, the
+// time that the balancer will wait. The pieces are the line's own bytes, for a gathered write.
+func (o *Open) Forward(parts [][]byte, wait time.Duration) [][]byte {
+	if o.waitTo == 0 {
+		return append(parts, o.Line)
+	}
+	ms := strconv.AppendInt(nil, max(wait.Milliseconds(), 1), 10)
+	return append(parts, o.Line[:o.waitFrom], ms, o.Line[o.waitTo:])
+}
+
+// Busy is a refusal; after 0 it says nothing of when to come again.
+func Busy(after time.Duration) []byte {
+	b := []byte("BUSY")
+	if after > 0 {
+		b = strconv.AppendInt(append(b, ' '), (after + time.Millisecond - 1).Milliseconds(), 10)
+	}
+	return append(b, '\r', '\n')
+}
+
+// Word is what a server's line says.
+type Word int
+
+// Words of a server's lines.
+const (
+	WordOther Word = iota // any line of the connection's own
+	WordUp
+	WordBye
+	WordMove
+	WordErr
+	WordBusy
+	WordLoad
+)
+
+// Reply is a server's line.
+type Reply struct {
+	Word   Word
+	Load   float64 // LOAD's figure
+	Report []byte  // the load report, as sent
+}
+
+// ParseReply reads a server's line, with or without its end. What it cannot read is WordOther.
+func ParseReply(line []byte) Reply {
+	word, rest, _ := bytes.Cut(trimEnd(line), space)
+	switch string(word) {
+	case "UP":
+		return Reply{Word: WordUp}
+	case "BYE":
+		return Reply{Word: WordBye, Report: rest}
+	case "MOVE":
+		return Reply{Word: WordMove}
+	case "ERR":
+		return Reply{Word: WordErr, Report: rest}
+	case "BUSY":
+		return Reply{Word: WordBusy, Report: rest}
+	case "LOAD":
+		if v, ok := number(rest); ok {
+			return Reply{Word: WordLoad, Load: v}
+		}
+	}
+	return Reply{}
+}
+
+// Report walks a load report such as inflight=7,queue=2,util=0.61; a field that it cannot read is passed over.
+func Report(b []byte, field func(name string, value float64)) {
+	for len(b) > 0 {
+		pair, rest, _ := bytes.Cut(b, []byte{','})
+		b = rest
+		name, value, ok := bytes.Cut(pair, []byte{'='})
+		if v, good := number(value); ok && good && len(name) > 0 {
+			field(string(name), v)
+		}
+	}
+}
--- a/internal/wire/settings.go
+++ b/internal/settings/settings.go
@@ -1,6 +1,11 @@
-package wire
+// Package settings turns the platform's settings, given as path=value pairs, into rules.Settings. The
+// simulator's wire and the program's configuration use the same names and units, so both come through here.
+package settings
 
 import (
+	"bytes"
+	"encoding/json"
+	"errors"
 	"fmt"
 	"strconv"
 	"strings"
@@ -9,33 +14,9 @@
 	"example.org/milletvane/rules"
 )
 
-// create reads the line that starts an instance. Its settings are path=value pairs.
-func (r *Reader) create(f *fields) (Event, bool, error) {
-	ev := Event{Instance: -1}
-	p := params{}
-	for f.next() {
-		if string(f.key) == "relay" {
-			ev.Instance = int(f.integer(1 << 31))
-			continue
-		}
-		p[string(f.key)] = string(f.value)
-	}
-	if f.err != nil {
-		return ev, false, r.errorf("create: %v", f.err)
-	}
-	if ev.Instance < 0 {
-		return ev, false, r.errorf("create: relay is missing")
-	}
-	set, err := p.settings()
-	if err != nil {
-		return ev, false, r.errorf("create: %v", err)
-	}
-	ev.Start = set
-	return ev, true, nil
-}
-
-// params are settings by path. Absent ones give zero, whose meaning rules.Settings states.
-type params map[string]string
+// Pairs are settings by path, such as classes.0.name. Absent ones give zero, whose meaning rules.Settings
+// states.
+type Pairs map[string]string
 
 // null stands for a value that is not there.
 const null = "null"
@@ -52,7 +33,8 @@
 	}
 )
 
-func (p params) settings() (*rules.Settings, error) {
+// Rules reads the settings that the rules are told.
+func (p Pairs) Rules() (*rules.Settings, error) {
 	d := decoder{p: p}
 	s := &rules.Settings{
 		Seed:           uint64(d.integer("init_seed")),
@@ -110,7 +92,7 @@
 
 // decoder reads values and keeps the first error.
 type decoder struct {
-	p   params
+	p   Pairs
 	err error
 }
 
@@ -153,7 +135,7 @@
 	if s == "" || s == null {
 		return false
 	}
-	v, ok := parseBool(s)
+	v, ok := ParseBool(s)
 	if !ok {
 		d.fail(path, "a bool")
 	}
@@ -194,3 +176,102 @@
 	}
 	return list
 }
+
+// ParseBool reads the platform's bool; ok is false for all else.
+func ParseBool(s string) (v, ok bool) {
+	switch s {
+	case "1", "true":
+		return true, true
+	case "0", "false":
+		return false, true
+	}
+	return false, false
+}
+
+// Node is what a real balancer itself goes by; the rules are not told of it.
+type Node struct {
+	ConnectTimeout time.Duration // a connection to a server must stand within this; 0: no bound stated
+	Pass           bool          // connections outlive this balancer: their packets reach another one
+	TellsDelay     bool          // the rules want word of slow messages
+	TellsLoad      bool          // and of the connections' loads
+	MessageAim     time.Duration // the shortest wanted message time; 0: none stated
+	AnswerSlack    time.Duration // a final answer may come this long after the client's deadline
+	LongestWait    time.Duration // the longest time that a class's clients wait
+}
+
+// Node reads the settings that a real balancer goes by.
+func (p Pairs) Node() (Node, error) {
+	d := decoder{p: p}
+	n := Node{
+		ConnectTimeout: d.time("caps.connect_timeout_ns"),
+		TellsDelay:     d.boolean("family_info.tells_delay"),
+		TellsLoad:      d.boolean("family_info.tells_load"),
+		AnswerSlack:    d.time("rules.grace_to_answer_ns"),
+	}
+	switch p["family_info.mode"] {
+	case "pass":
+		n.Pass = true
+	case "", "proxy", null:
+	default:
+		d.fail("family_info.mode", "pass or proxy")
+	}
+	for _, aim := range d.times("family_info.message_aim_ns") {
+		if aim > 0 && (n.MessageAim == 0 || aim < n.MessageAim) {
+			n.MessageAim = aim
+		}
+	}
+	for i := range d.count("classes") {
+		n.LongestWait = max(n.LongestWait, d.time("classes."+strconv.Itoa(i)+".give_up_ns"))
+	}
+	return n, d.err
+}
+
+// Flatten turns nested JSON settings into pairs: members are joined by dots, a list of plain values becomes
+// one value with commas, and a list of objects its length under .count and its items under .0, .1 and on.
+func Flatten(nested []byte) (Pairs, error) {
+	dec := json.NewDecoder(bytes.NewReader(nested))
+	dec.UseNumber() // whole numbers of nanoseconds keep every digit
+	var v any
+	if err := dec.Decode(&v); err != nil {
+		return nil, err
+	}
+	if _, ok := v.(map[string]any); !ok {
+		return nil, errors.New("not an object")
+	}
+	p := Pairs{}
+	p.flatten("", v)
+	return p, nil
+}
+
+func (p Pairs) flatten(path string, v any) {
+	switch v := v.(type) {
+	case map[string]any:
+		for name, member := range v {
+			if path != "" {
+				name = path + "." + name
+			}
+			p.flatten(name, member)
+		}
+	case []any:
+		plain := make([]string, 0, len(v))
+		for i, item := range v {
+			switch item.(type) {
+			case map[string]any, []any:
+				p.flatten(path+"."+strconv.Itoa(i), item)
+			default:
+				plain = append(plain, text(item))
+			}
+		}
+		p[path+".count"] = strconv.Itoa(len(v))
+		p[path] = strings.Join(plain, ",")
+	default:
+		p[path] = text(v)
+	}
+}
+
+func text(v any) string {
+	if v == nil {
+		return null
+	}
+	return fmt.Sprint(v)
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -13,6 +13,7 @@
 	"strings"
 	"time"
 
+	"example.org/milletvane/internal/settings"
 	"example.org/milletvane/rules"
 )
 
@@ -131,6 +132,31 @@
 	return fmt.Errorf("line %d: %s", r.line, fmt.Sprintf(format, args...))
 }
 
+// create reads the line that starts an instance. Its settings are path=value pairs.
+func (r *Reader) create(f *fields) (Event, bool, error) {
+	ev := Event{Instance: -1}
+	p := settings.Pairs{}
+	for f.next() {
+		if string(f.key) == "relay" {
+			ev.Instance = int(f.integer(1 << 31))
+			continue
+		}
+		p[string(f.key)] = string(f.value)
+	}
+	if f.err != nil {
+		return ev, false, r.errorf("create: %v", f.err)
+	}
+	if ev.Instance < 0 {
+		return ev, false, r.errorf("create: relay is missing")
+	}
+	set, err := p.Rules()
+	if err != nil {
+		return ev, false, r.errorf("create: %v", err)
+	}
+	ev.Start = set
+	return ev, true, nil
+}
+
 // record gathers the fields that events share.
 type record struct {
 	req     rules.Request
@@ -380,24 +406,13 @@
 }
 
 func (f *fields) boolean() bool {
-	v, ok := parseBool(string(f.value))
+	v, ok := settings.ParseBool(string(f.value))
 	if !ok {
 		f.fail("a bool")
 	}
 	return v
 }
 
-// parseBool reads the wire's bool; ok is false for all else.
-func parseBool(s string) (v, ok bool) {
-	switch s {
-	case "1", "true":
-		return true, true
-	case "0", "false":
-		return false, true
-	}
-	return false, false
-}
-
 // AppendAction appends the wire's line for an action of an instance.
 func AppendAction(b []byte, instance int, a rules.Action) []byte {
 	head := func(word string) {
