--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -47,9 +47,9 @@
 	g.watcher = discovery.New(c.Discovery, c.Known, g.logger)
 	g.engine = engine.New(engine.Options{
 		Limit: c.Limits.Connections(), DefaultWait: c.Node.LongestWait, AnswerSlack: c.Node.AnswerSlack,
-		Pass: c.Node.Pass, TellsDelay: c.Node.TellsDelay, SlowFrom: c.Node.MessageAim / 3, Drain: c.Drain,
+		Pass: c.Node.Pass, TellsDelay: c.Node.TellsDelay, MessageAim: c.Node.MessageAim, Probes: c.Node.Probes, Drain: c.Drain,
 		Logger: g.logger,
-	}, balancer, attempts, g.watcher)
+	}, balancer, attempts, g.watcher, attempts)
 	attempts.Connect(g.engine)
 	g.watcher.Connect(g.engine.Post)
 	return g, nil
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -32,12 +32,13 @@
 	Offer(engine.Event) // may be dropped
 }
 
-// Backend implements engine.Backend.
+// Backend implements engine.Backend and engine.Prober.
 type Backend struct {
 	events         Poster
 	connectTimeout time.Duration
 	tellsLoad      bool
 	tellsDelay     bool
+	probes         map[rules.ServerID]*probe // the engine's goroutine alone uses it
 }
 
 // Options are what a Backend goes by.
@@ -49,7 +50,8 @@
 
 // New returns a Backend. Connect sets where its events go before the first Send.
 func New(o Options) *Backend {
-	return &Backend{connectTimeout: o.ConnectTimeout, tellsLoad: o.TellsLoad, tellsDelay: o.TellsDelay}
+	return &Backend{connectTimeout: o.ConnectTimeout, tellsLoad: o.TellsLoad, tellsDelay: o.TellsDelay,
+		probes: map[rules.ServerID]*probe{}}
 }
 
 // Connect sets where events go.
--- /dev/null
+++ b/internal/backend/probe.go
@@ -0,0 +1,104 @@
+package backend
+
+import (
+	"errors"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+
+	"example.org/milletvane/internal/engine"
+	"example.org/milletvane/internal/lineproto"
+	"example.org/milletvane/internal/netconn"
+	"example.org/milletvane/rules"
+)
+
+// probeFor bounds a probe: a report that comes later says nothing of now.
+const probeFor = 500 * time.Millisecond
+
+// errProbe is an answer to a probe that is no report.
+var errProbe = errors.New("probe not answered")
+
+// probe is one server's connection for probes. Its goroutine ends when asks is closed.
+type probe struct {
+	server rules.ServerID
+	addr   string
+	asks   chan struct{}
+}
+
+// Probe implements engine.Prober. One probe a server is out at a time; more are not queued.
+func (b *Backend) Probe(id rules.ServerID, addr string) {
+	p := b.probes[id]
+	if p != nil && p.addr != addr {
+		b.Forget(id)
+		p = nil
+	}
+	if p == nil {
+		p = &probe{server: id, addr: addr, asks: make(chan struct{})}
+		b.probes[id] = p
+		go p.run(b)
+	}
+	select {
+	case p.asks <- struct{}{}:
+	default: // the last one is still out, or the goroutine not there yet
+	}
+}
+
+// Forget implements engine.Prober.
+func (b *Backend) Forget(id rules.ServerID) {
+	if p := b.probes[id]; p != nil {
+		close(p.asks)
+		delete(b.probes, id)
+	}
+}
+
+// run asks whenever told to, on one connection that is opened anew after a fault.
+func (p *probe) run(b *Backend) {
+	var conn *netconn.Conn
+	for range p.asks {
+		if conn == nil || !conn.IsActive() {
+			if conn != nil {
+				conn.Close()
+				conn = nil
+			}
+			nc, err := netpoll.DialConnection("tcp", p.addr, probeFor)
+			if err != nil {
+				continue
+			}
+			conn = netconn.New(nc)
+		}
+		report, err := ask(conn)
+		if err != nil {
+			conn.Close()
+			conn = nil
+			continue
+		}
+		b.events.Offer(engine.Probed{Server: p.server, Report: report})
+	}
+	if conn != nil {
+		conn.Close()
+	}
+}
+
+func ask(conn *netconn.Conn) (r engine.Report, err error) {
+	if err := conn.Send([]byte(lineproto.Stats)); err != nil {
+		return r, err
+	}
+	line, err := netconn.Line(conn, time.Now().Add(probeFor))
+	if err != nil {
+		return r, err
+	}
+	report, ok := lineproto.ParsePong(line)
+	if !ok {
+		return r, errProbe
+	}
+	lineproto.Report(report, func(name string, v float64) {
+		switch name {
+		case "x0":
+			r.Load, r.HasLoad = v, true
+		case "x1":
+			r.Piled, r.HasPiled = time.Duration(v*float64(time.Second)), true
+		}
+	})
+	conn.Reader().Skip(len(line))
+	return r, conn.Reader().Release()
+}
--- /dev/null
+++ b/internal/engine/delay.go
@@ -0,0 +1,120 @@
+package engine
+
+import (
+	"time"
+
+	"example.org/milletvane/internal/slot"
+	"example.org/milletvane/rules"
+)
+
+// Report is what a server says of its load.
+type Report struct {
+	Load     float64 // asked of it over what it can do
+	HasLoad  bool
+	Piled    time.Duration // work that waits
+	HasPiled bool
+}
+
+// Prober asks servers for their load. A report comes back as Probed, or not at all.
+type Prober interface {
+	Probe(rules.ServerID, string)
+	Forget(rules.ServerID) // nothing more is asked of it
+}
+
+// Probed brings a server's report.
+type Probed struct {
+	Server rules.ServerID
+	Report Report
+}
+
+func (Probed) event() {}
+
+const (
+	probeEvery = time.Second
+	reportFor  = 2500 * time.Millisecond // a report tells of now for so long
+	// An unloaded server takes about this part of the shortest wanted time for a message.
+	messagePart = 12
+	// Of a server that does all it can, more is not told apart.
+	fullLoad = 0.98
+)
+
+// meter holds what is known of how long messages take at a server now.
+//
+// The protocol has no line for it, so lines are timed from the client's to the one in return. That alone
+// misses overload: a server returns lines at once, beside the work that has piled up, as long as it is not
+// hung. Where load reports can be asked for, the time that a message takes is estimated from them too.
+type meter struct {
+	line     time.Duration // of the last line that was returned
+	lineAt   time.Duration
+	lineOf   slot.ID
+	waiting  time.Duration // of the oldest line that was not, at the last look
+	waiterOf slot.ID
+
+	load     float64 // as last reported
+	piled    time.Duration
+	reportAt time.Duration // 0: never
+	askedAt  time.Duration
+
+	slow   bool // as last told
+	toldAt time.Duration
+}
+
+// report takes in a load report. What is asked for beyond a server's power piles up; what is left of it
+// works that off.
+func (m *meter) report(now time.Duration, r Report) {
+	switch {
+	case r.HasPiled:
+		m.piled = r.Piled
+	case r.HasLoad && m.reportAt > 0 && now-m.reportAt <= reportFor:
+		m.piled += time.Duration((r.Load - 1) * float64(now-m.reportAt))
+		m.piled = max(m.piled, 0)
+	default:
+		m.piled = 0
+	}
+	m.load, m.reportAt = r.Load, now
+}
+
+// delay is how long a message takes now. aim is the shortest wanted time.
+func (m *meter) delay(now, aim time.Duration) time.Duration {
+	d := m.waiting
+	if now-m.lineAt <= sampleFor {
+		d = max(d, m.line)
+	}
+	if m.reportAt > 0 && now-m.reportAt <= reportFor {
+		// Messages wait for each other the longer the less power is left.
+		alone := float64(aim) / messagePart
+		d = max(d, time.Duration(alone/(1-min(m.load, fullLoad)))+m.piled)
+	}
+	return d
+}
+
+// tellDelay tells the rules of slow messages at a server: once a second while they are over a third of the
+// shortest wanted time, and once more when they are back under.
+func (e *Engine) tellDelay(id rules.ServerID, s *server, holder slot.ID) {
+	m := &s.meter
+	if e.now-m.toldAt < delayTold {
+		return
+	}
+	d := m.delay(e.now, e.opts.MessageAim)
+	slow := d > e.opts.MessageAim/3
+	if !slow && !m.slow {
+		return
+	}
+	of := m.lineOf
+	if m.waiting > m.line {
+		of = m.waiterOf
+	}
+	if of == 0 {
+		of = holder
+	}
+	m.slow, m.toldAt = slow, e.now
+	e.tell(rules.MessageDelay{ID: rules.RequestID(of), Server: id, Delay: d})
+}
+
+// probe asks a server for its load while this gateway has connections there.
+func (e *Engine) probe(id rules.ServerID, s *server) {
+	if e.opts.Probes && e.now-s.meter.askedAt >= probeEvery {
+		s.meter.askedAt = e.now
+		e.prober.Probe(id, s.addr)
+	}
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -136,7 +136,8 @@
 	AnswerSlack time.Duration // after a request's deadline an answer is still valid this long
 	Pass        bool          // open connections outlive this gateway: they are not moved when it stops
 	TellsDelay  bool          // the rules want word of slow messages
-	SlowFrom    time.Duration // messages that take longer are slow
+	MessageAim  time.Duration // the shortest wanted time of a message; 0: none stated
+	Probes      bool          // servers may be asked for their load
 	Drain       time.Duration // from Stop to the end
 	QueueEvents int           // events that may wait; 0 is taken as 4096
 	Logger      *log.Logger
@@ -198,13 +199,7 @@
 	name string
 	addr string
 
-	delay    time.Duration // of the last line that was returned
-	delayAt  time.Duration
-	delayOf  slot.ID
-	waiting  time.Duration // of the oldest line that was not, at the last look
-	waiterOf slot.ID
-	slow     bool // as last told
-	toldAt   time.Duration
+	meter meter
 }
 
 // Engine runs a gateway's core.
@@ -213,6 +208,7 @@
 	rules   *rules.Balancer
 	backend Backend
 	lister  Lister
+	prober  Prober
 
 	inbox chan Event
 	done  chan struct{}
@@ -232,8 +228,9 @@
 // counts are what the log's regular line tells.
 type counts struct{ taken, up, refused, failed, moved, left, ended int }
 
-// New returns an engine that starts attempts with backend and watches the list with lister.
-func New(opts Options, balancer *rules.Balancer, backend Backend, lister Lister) *Engine {
+// New returns an engine that starts attempts with backend, watches the list with lister and, where Options
+// allow it, asks for loads with prober.
+func New(opts Options, balancer *rules.Balancer, backend Backend, lister Lister, prober Prober) *Engine {
 	if opts.QueueEvents <= 0 {
 		opts.QueueEvents = queueEvents
 	}
@@ -241,7 +238,7 @@
 		opts.Logger = log.Default()
 	}
 	return &Engine{
-		opts: opts, rules: balancer, backend: backend, lister: lister,
+		opts: opts, rules: balancer, backend: backend, lister: lister, prober: prober,
 		inbox: make(chan Event, opts.QueueEvents), done: make(chan struct{}),
 		requests: slot.New[*request](opts.Limit),
 		servers:  map[rules.ServerID]*server{}, names: map[string]rules.ServerID{},
@@ -323,9 +320,13 @@
 	case Answered:
 		if r, ok := e.requests.Get(ev.Request); ok {
 			if s := e.servers[r.server]; s != nil {
-				s.delay, s.delayAt, s.delayOf = ev.Delay, e.now, r.id
+				s.meter.line, s.meter.lineAt, s.meter.lineOf = ev.Delay, e.now, r.id
 			}
 		}
+	case Probed:
+		if s := e.servers[ev.Server]; s != nil {
+			s.meter.report(e.now, ev.Report)
+		}
 	case List:
 		e.onList(ev)
 	case Stop:
@@ -652,24 +653,27 @@
 }
 
 func (e *Engine) forget(id rules.ServerID, s *server) {
+	e.prober.Forget(id)
 	delete(e.servers, id)
 	delete(e.names, s.name)
 }
 
-// look finds what open connections wait for: it tells the rules of slow messages, once a second for each
-// server and once more when they are quick again, and ends the connections whose server has gone silent.
+// look finds what open connections wait for: it tells the rules of slow messages and ends the connections
+// whose server has gone silent.
 func (e *Engine) look() {
 	for _, s := range e.servers {
-		s.waiting, s.waiterOf = 0, 0
+		s.meter.waiting, s.meter.waiterOf = 0, 0
 	}
 	var silent []*request
+	holders := map[rules.ServerID]slot.ID{}
 	e.requests.All(func(id slot.ID, r *request) bool {
 		if r.phase != open {
 			return true
 		}
+		holders[r.server] = id
 		age := r.link.Waiting()
-		if s := e.servers[r.server]; s != nil && age > s.waiting {
-			s.waiting, s.waiterOf = age, id
+		if s := e.servers[r.server]; s != nil && age > s.meter.waiting {
+			s.meter.waiting, s.meter.waiterOf = age, id
 		}
 		if age > silentFor {
 			silent = append(silent, r)
@@ -680,29 +684,14 @@
 		e.opts.Logger.Printf("msg=%q server=%d", "moved a client off a silent server", r.server)
 		e.move(r, rules.Reset)
 	}
-	if !e.opts.TellsDelay || e.opts.SlowFrom <= 0 {
+	if !e.opts.TellsDelay || e.opts.MessageAim <= 0 {
 		return
 	}
-	// In order of slots, not of the map: the rules are to see the same events for the same day.
+	// By number, not in the map's order: the same events come to the rules in the same order.
 	for _, id := range e.order() {
-		e.tellDelay(id, e.servers[id])
-	}
-}
-
-func (e *Engine) tellDelay(id rules.ServerID, s *server) {
-	if e.now-s.toldAt < delayTold {
-		return
-	}
-	delay, of := time.Duration(0), s.delayOf
-	if e.now-s.delayAt <= sampleFor {
-		delay = s.delay
-	}
-	if s.waiting > delay {
-		delay, of = s.waiting, s.waiterOf
-	}
-	if delay <= e.opts.SlowFrom && !s.slow {
-		return
+		if holder, ok := holders[id]; ok {
+			e.probe(id, e.servers[id])
+			e.tellDelay(id, e.servers[id], holder)
+		}
 	}
-	s.slow, s.toldAt = delay > e.opts.SlowFrom, e.now
-	e.tell(rules.MessageDelay{ID: rules.RequestID(of), Server: id, Delay: delay})
 }
--- a/internal/lineproto/lineproto.go
+++ b/internal/lineproto/lineproto.go
@@ -15,10 +15,11 @@
 
 // Lines of the balancer's own.
 const (
-	Pong = "PONG\r\n"
-	No   = "NO\r\n"
-	Err  = "ERR\r\n"
-	Move = "MOVE\r\n"
+	Pong  = "PONG\r\n"
+	No    = "NO\r\n"
+	Err   = "ERR\r\n"
+	Move  = "MOVE\r\n"
+	Stats = "STATS\r\n" // to a server, on a connection for probes
 )
 
 // Errors of a first line.
@@ -232,6 +233,12 @@
 	return Reply{}
 }
 
+// ParsePong reads the answer to a probe; ok is false for any other line. The report is empty after PING.
+func ParsePong(line []byte) (report []byte, ok bool) {
+	word, rest, _ := bytes.Cut(trimEnd(line), space)
+	return rest, string(word) == "PONG"
+}
+
 // Report walks a load report such as inflight=7,queue=2,util=0.61; a field that it cannot read is passed over.
 func Report(b []byte, field func(name string, value float64)) {
 	for len(b) > 0 {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -194,6 +195,7 @@
 	Pass           bool          // connections outlive this balancer: their packets reach another one
 	TellsDelay     bool          // the rules want word of slow messages
 	TellsLoad      bool          // and of the connections' loads
+	Probes         bool          // servers may be asked for their load, and tell it
 	MessageAim     time.Duration // the shortest wanted message time; 0: none stated
 	AnswerSlack    time.Duration // a final answer may come this long after the client's deadline
 	LongestWait    time.Duration // the longest time that a class's clients wait
@@ -208,6 +210,8 @@
 		TellsLoad:      d.boolean("family_info.tells_load"),
 		AnswerSlack:    d.time("rules.grace_to_answer_ns"),
 	}
+	fields := strings.Split(p["reporting.fields"], ",")
+	n.Probes = d.boolean("caps.probes") && (slices.Contains(fields, "x0") || slices.Contains(fields, "x1"))
 	switch p["family_info.mode"] {
 	case "pass":
 		n.Pass = true
