Keep a relay from writing to a connection that has just closed

Lines at fault: netconn.Conn.Send wrote without knowing of the end. Now a close callback, which runs before netpoll's own, waits for a write that has begun and lets none begin after it. Also, a stopping gateway that holds nothing ends after a quiet second rather than after the whole drain.

--- /dev/null
+++ b/config/config_test.go
@@ -0,0 +1,73 @@
+package config
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+const good = `{"name":"n3","listen":"127.0.0.4:5000","discovery":"127.0.2.1:8500","seed":"8c1f30d27a5be964",
+ "limits":{"cores":1.0,"memory_mb":192,"sockets":1136},
+ "known":{"version":41,"full":true,"servers":[{"id":"s-5be2a07c","addr":"127.1.0.18:5000","state":"in_service"}]},
+ "settings":{"caps":{"max_attempts":5,"connect_timeout_ns":60000000,"probes":true,"retry_after":true,"max_retry_after_ns":2000000000},
+  "classes":[{"name":"a","effect":"idempotent","group":"all","give_up_ns":4800000000,"slo_ns":800000000,"worth":1.0}],
+  "discovery":"ask","family_info":{"mode":"pass","message_aim_ns":[60000000],"tells_load":true,"tells_delay":true,"park_ns":6449143000},
+  "replicas_of_me":3,"reporting":{"fields":["concurrent","depth","x0"]},"rules":{"cold_ns":21000000000,"tip_multiple":4.0},"tenants":[]}}`
+
+func none(string) string { return "" }
+
+func TestParse(t *testing.T) {
+	c, err := Parse([]byte(good), none)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Name != "n3" || c.Rules.Seed != 0x8c1f30d27a5be964 || c.Rules.Gateways != 3 || c.Rules.MaxAttempts != 5 ||
+		!c.Rules.AskList || c.Rules.Park != 6449143*time.Microsecond || len(c.Rules.Classes) != 1 ||
+		c.Rules.Classes[0].MessageAim != 60*time.Millisecond || c.Rules.MaxRetryAfter != 2*time.Second {
+		t.Errorf("rules read as %+v", c.Rules)
+	}
+	if n := c.Node; !n.Pass || !n.Probes || !n.TellsLoad || !n.TellsDelay || n.ConnectTimeout != 60*time.Millisecond ||
+		n.MessageAim != 60*time.Millisecond || n.LongestWait != 4800*time.Millisecond {
+		t.Errorf("node read as %+v", n)
+	}
+	if c.Known.Version != 41 || c.Limits.Connections() != 544 || c.Drain != 3500*time.Millisecond {
+		t.Errorf("read as %+v", c)
+	}
+}
+
+func TestEnvironmentGoesOverTheFile(t *testing.T) {
+	env := map[string]string{EnvName: "n9", EnvListen: "127.0.0.9:1", EnvDiscovery: "127.0.0.9:2"}
+	c, err := Parse([]byte(good), func(k string) string { return env[k] })
+	if err != nil || c.Name != "n9" || c.Listen != "127.0.0.9:1" || c.Discovery != "127.0.0.9:2" {
+		t.Errorf("%v: %+v", err, c)
+	}
+	if c, err = Parse(nil, func(k string) string { return env[k] }); err != nil || c.Limits.Sockets != DefaultSockets {
+		t.Errorf("without a file: %v: %+v", err, c)
+	}
+}
+
+// Whoever mistypes a value reads which one it was.
+func TestFaultsNameTheirKey(t *testing.T) {
+	for _, f := range []struct{ old, new, key string }{
+		{`"127.0.0.4:5000"`, `"nowhere"`, "listen"},
+		{`"127.0.0.4:5000"`, `""`, "listen"},
+		{`"127.0.2.1:8500"`, `"127.0.2.1:99999"`, "discovery"},
+		{`"sockets":1136`, `"sockets":3`, "limits.sockets"},
+		{`"sockets":1136`, `"sockets":"many"`, "limits.sockets"},
+		{`"memory_mb":192`, `"memory_mb":0`, "limits.memory_mb"},
+		{`"cores":1.0`, `"cores":-1`, "limits.cores"},
+		{`8c1f30d27a5be964`, `xyz`, "seed"},
+		{`"id":"s-5be2a07c"`, `"id":""`, "known"},
+		{`"idempotent"`, `"perhaps"`, "settings.classes.0.effect"},
+		{`"mode":"pass"`, `"mode":"both"`, "settings.family_info.mode"},
+		{`"max_attempts":5`, `"max_attempts":"x"`, "settings.caps.max_attempts"},
+		{`"connect_timeout_ns":60000000`, `"connect_timeout_ns":-6`, "settings.caps.connect_timeout_ns"},
+		{`"settings":{`, `"settings":[],"x":{`, "settings"},
+		{`{"name"`, `{name`, EnvFile},
+	} {
+		text := strings.Replace(good, f.old, f.new, 1)
+		if _, err := Parse([]byte(text), none); err == nil || !strings.Contains(err.Error(), f.key) {
+			t.Errorf("%s for %s: %v, want the key %s", f.new, f.old, err, f.key)
+		}
+	}
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -149,6 +149,7 @@
 	silentFor   = 6 * time.Second        // a server that returns no line for this long has lost its clients
 	tickEvery   = 250 * time.Millisecond // between looks at open connections
 	delayTold   = time.Second            // between words of slow messages at one server
+	quietFor    = time.Second            // after Stop, clients may come this long though none is left
 	sampleFor   = 2500 * time.Millisecond
 	statsEvery  = 10 * time.Second
 	queueEvents = 4096
@@ -221,6 +222,7 @@
 	names     map[string]rules.ServerID
 	queue     []rules.Event // outcomes that follow at once from actions
 	stopping  bool
+	stoppedAt time.Duration
 	ended     bool
 	counts    counts
 }
@@ -362,6 +364,9 @@
 		case dueTick:
 			e.deadlines.Add(e.now+tickEvery, due{kind: dueTick})
 			e.look()
+			if e.stopping && e.requests.Len() == 0 && e.now-e.stoppedAt >= quietFor {
+				e.end()
+			}
 		case dueStats:
 			e.deadlines.Add(e.now+statsEvery, due{kind: dueStats})
 			e.logStats()
--- /dev/null
+++ b/internal/engine/engine_test.go
@@ -0,0 +1,328 @@
+package engine
+
+import (
+	"fmt"
+	"io"
+	"log"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"example.org/milletvane/rules"
+)
+
+// world is an engine with scripted parts on a clock of its own. Everything that the engine does to its
+// surroundings is written down in order.
+type world struct {
+	t    *testing.T
+	e    *Engine
+	now  time.Duration
+	did  []string
+	link *fakeLink // the last one
+}
+
+type fakeClient struct {
+	Ticket
+	w    *world
+	name string
+}
+
+func (c *fakeClient) Slot() *Ticket          { return &c.Ticket }
+func (c *fakeClient) Refuse(d time.Duration) { c.w.note("refuse %s", c.name) }
+func (c *fakeClient) Fail()                  { c.w.note("fail %s", c.name) }
+func (c *fakeClient) Close()                 { c.w.note("close %s", c.name) }
+func (c *fakeClient) Move()                  { c.w.note("move %s", c.name) }
+
+type fakeLink struct {
+	w       *world
+	a       Attempt
+	up      bool
+	waiting time.Duration
+}
+
+func (l *fakeLink) Abandon() bool {
+	if !l.up {
+		l.w.note("abandon %s/%d", l.a.Addr, l.a.Number)
+	}
+	return !l.up
+}
+func (l *fakeLink) Waiting() time.Duration { return l.waiting }
+
+func (w *world) Send(a Attempt) Link {
+	w.note("send %s/%d", a.Addr, a.Number)
+	w.link = &fakeLink{w: w, a: a}
+	return w.link
+}
+func (w *world) Watch()                            { w.note("watch") }
+func (w *world) Probe(_ rules.ServerID, at string) { w.note("probe %s", at) }
+func (w *world) Forget(id rules.ServerID)          { w.note("forget %d", id) }
+func (w *world) note(format string, args ...any)   { w.did = append(w.did, fmt.Sprintf(format, args...)) }
+func (w *world) tell(ev Event)                     { w.e.Handle(w.now, ev) }
+func (w *world) ended(l *fakeLink, r rules.Result) { w.tell(Ended{l.a.Request, l.a.Number, r}) }
+func (w *world) wentUp(l *fakeLink) {
+	l.up = true
+	w.tell(Up{Request: l.a.Request, Number: l.a.Number})
+}
+func (w *world) client(name string) *fakeClient { return &fakeClient{w: w, name: name} }
+func (w *world) expect(want ...string) {
+	w.t.Helper()
+	if !slices.Equal(w.did, want) {
+		w.t.Errorf("did %q, want %q", w.did, want)
+	}
+	w.did = nil
+}
+
+// pass lets time go by, in steps as the engine asks for them.
+func (w *world) pass(d time.Duration) {
+	end := w.now + d
+	for {
+		at, ok := w.e.Next()
+		if !ok || at > end || w.e.ended {
+			break
+		}
+		w.now = max(w.now, at)
+		w.e.Expire(w.now)
+	}
+	w.now = end
+}
+
+func newWorld(t *testing.T, servers int, change func(*Options)) *world {
+	w := &world{t: t, now: time.Hour}
+	balancer, err := rules.New(rules.Settings{
+		Gateways: 1, MaxAttempts: 2, AskList: true, DrainGrace: 500 * time.Millisecond,
+		MaxRetryAfter: 2 * time.Second,
+		Classes:       []rules.Class{{Name: "c", Aim: 800 * time.Millisecond, MessageAim: 60 * time.Millisecond}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	opts := Options{Limit: 3, DefaultWait: 3 * time.Second, AnswerSlack: 16 * time.Millisecond, Pass: true,
+		TellsDelay: true, MessageAim: 60 * time.Millisecond, Drain: 3500 * time.Millisecond,
+		Logger: log.New(io.Discard, "", 0)}
+	if change != nil {
+		change(&opts)
+	}
+	w.e = New(opts, balancer, w, w, w)
+	w.e.Start(w.now)
+	list := List{Mode: rules.Stored}
+	for i := range servers {
+		list.Servers = append(list.Servers, Server{Name: fmt.Sprint("s", i+1), Addr: fmt.Sprint("a", i+1),
+			Server: rules.Server{ID: rules.ServerID(i + 1)}})
+	}
+	w.tell(list)
+	w.expect("watch")
+	return w
+}
+
+func (w *world) arrive(c *fakeClient, q Request) {
+	w.tell(Accepted{c})
+	if q.Wait == 0 {
+		q.Wait = 3 * time.Second
+	}
+	q.Class = "c"
+	w.tell(Arrived{c, q})
+}
+
+func (w *world) held(want int) {
+	w.t.Helper()
+	if got := w.e.requests.Len(); got != want {
+		w.t.Errorf("%d slots held, want %d", got, want)
+	}
+}
+
+func TestServedToItsEnd(t *testing.T) {
+	w := newWorld(t, 1, nil)
+	w.arrive(w.client("x"), Request{Key: "k"})
+	w.expect("send a1/0")
+	w.wentUp(w.link)
+	w.pass(time.Minute)
+	w.expect()
+	w.ended(w.link, rules.OK)
+	w.ended(w.link, rules.OK) // a stale number does nothing
+	w.held(0)
+	if n := w.e.deadlines.Len(); n > 3 { // the regular looks and the rules' own
+		t.Errorf("%d deadlines are left", n)
+	}
+}
+
+// An attempt that got no answer is closed before the next is sent: two at once break a rule.
+func TestTimeoutClosesBeforeTheNextSend(t *testing.T) {
+	w := newWorld(t, 1, nil)
+	w.arrive(w.client("x"), Request{Key: "k"})
+	w.pass(10 * time.Second)
+	w.expect("send a1/0", "abandon a1/0", "send a1/1", "abandon a1/1", "refuse x")
+	w.held(0)
+}
+
+func TestUpCrossesItsTimeout(t *testing.T) {
+	w := newWorld(t, 1, nil)
+	w.arrive(w.client("x"), Request{Key: "k"})
+	w.link.up = true // word of it is on its way while the time runs out
+	w.pass(10 * time.Second)
+	w.wentUp(w.link)
+	w.expect("send a1/0")
+	w.held(1)
+}
+
+func TestFullIsTriedElsewhereAndThenRefusedAtOnce(t *testing.T) {
+	w := newWorld(t, 2, nil)
+	w.arrive(w.client("x"), Request{Key: "k"})
+	first := w.link
+	w.ended(first, rules.Full)
+	if w.link == first || w.link.a.Addr == first.a.Addr || w.link.a.Number != 1 {
+		t.Fatalf("then tried %+v", w.link.a)
+	}
+	w.did = nil
+	w.ended(w.link, rules.Full)
+	w.expect("refuse x")
+	w.held(0)
+}
+
+func TestClientLeavesWhileItsAttemptIsOut(t *testing.T) {
+	w := newWorld(t, 1, nil)
+	c := w.client("x")
+	w.arrive(c, Request{Key: "k"})
+	l := w.link
+	w.tell(Left{c})
+	w.tell(Left{c})
+	w.expect("send a1/0", "abandon a1/0")
+	w.wentUp(l) // too late
+	w.held(0)
+	w.arrive(w.client("y"), Request{Key: "k"}) // takes the slot over under another number
+	w.ended(l, rules.Reset)
+	w.held(1)
+}
+
+// A connection from before the run goes to its server undecided, also to one that drains.
+func TestCarriedGoesToItsServer(t *testing.T) {
+	w := newWorld(t, 3, nil)
+	for i, at := range []string{"s1", "s2", "s3"} {
+		w.arrive(w.client(at), Request{Key: "k", At: at})
+		if want := fmt.Sprintf("send a%d/0", i+1); len(w.did) != 1 || w.did[0] != want {
+			t.Fatalf("did %q, want %q", w.did, want)
+		}
+		w.did = nil
+		w.wentUp(w.link)
+		w.ended(w.link, rules.Cancelled)
+	}
+	w.arrive(w.client("x"), Request{Key: "k", At: "s9"})
+	w.expect("fail x")
+	w.arrive(w.client("y"), Request{Key: "k", At: "s1"})
+	w.ended(w.link, rules.ConnectFailed)
+	w.expect("send a1/0", "fail y")
+	w.held(0)
+}
+
+func TestFullTableRefusesAtTheDoor(t *testing.T) {
+	w := newWorld(t, 1, func(o *Options) { o.Limit = 1 })
+	w.tell(Accepted{w.client("x")})
+	w.tell(Accepted{w.client("y")})
+	w.expect("refuse y")
+	w.pass(time.Minute) // x asks for nothing
+	w.expect("close x")
+	w.held(0)
+}
+
+// A connection whose server returns nothing is open and silent; TCP would not notice for hours.
+func TestSilentServerLosesItsClient(t *testing.T) {
+	w := newWorld(t, 1, nil)
+	w.arrive(w.client("x"), Request{Key: "k"})
+	w.wentUp(w.link)
+	w.link.waiting = silentFor + time.Millisecond
+	w.pass(300 * time.Millisecond)
+	w.expect("send a1/0", "move x")
+	w.held(0)
+}
+
+// A server that leaves the list is sent nothing more, and a full list implies who has left.
+func TestFullListRemoves(t *testing.T) {
+	w := newWorld(t, 2, nil)
+	w.tell(List{Mode: rules.Complete, Servers: []Server{{Name: "s2", Addr: "b2", Server: rules.Server{ID: 2}}}})
+	for i := range 8 {
+		w.arrive(w.client("x"), Request{Key: fmt.Sprint(i)})
+		w.ended(w.link, rules.Errored)
+		w.ended(w.link, rules.Errored)
+	}
+	if s := strings.Join(w.did, " "); !strings.HasPrefix(s, "forget 1 ") || strings.Contains(s, "send a") {
+		t.Errorf("did %q", w.did)
+	}
+}
+
+// Slow messages are told once a second, by the larger of timed lines and what load reports come to.
+func TestMeter(t *testing.T) {
+	aim := 60 * time.Millisecond
+	var m meter
+	if d := m.delay(time.Hour, aim); d != 0 {
+		t.Errorf("with nothing known %v", d)
+	}
+	m.line, m.lineAt = 30*time.Millisecond, time.Hour
+	if d := m.delay(time.Hour+time.Second, aim); d != 30*time.Millisecond {
+		t.Errorf("after a line of 30 ms %v", d)
+	}
+	if d := m.delay(time.Hour+time.Minute, aim); d != 0 {
+		t.Errorf("a minute later %v", d)
+	}
+	// The failure that this guards against: lines came back at once from a server asked for 1.23 of its power.
+	m = meter{}
+	now := time.Hour
+	for range 3 {
+		m.report(now, Report{Load: 1.23, HasLoad: true})
+		now += time.Second
+	}
+	if d := m.delay(now, aim); d < 400*time.Millisecond {
+		t.Errorf("after two seconds of overload %v", d)
+	}
+	for range 4 {
+		m.report(now, Report{Load: 0.2, HasLoad: true})
+		now += time.Second
+	}
+	if d := m.delay(now, aim); d > aim/3 {
+		t.Errorf("with load gone %v", d)
+	}
+	m.report(now, Report{Load: 0.2, HasLoad: true, Piled: time.Second, HasPiled: true})
+	if d := m.delay(now, aim); d < time.Second {
+		t.Errorf("with a second piled up %v", d)
+	}
+}
+
+func TestProbesOnlyWhereConnectionsAre(t *testing.T) {
+	w := newWorld(t, 2, func(o *Options) { o.Probes = true })
+	w.pass(3 * time.Second)
+	w.expect()
+	w.arrive(w.client("x"), Request{Key: "k"})
+	at := w.link.a.Addr
+	w.wentUp(w.link)
+	w.did = nil
+	w.pass(2 * time.Second)
+	w.expect("probe "+at, "probe "+at)
+}
+
+func TestStopWherePacketsPass(t *testing.T) {
+	w := newWorld(t, 1, nil)
+	w.arrive(w.client("x"), Request{Key: "k"})
+	w.wentUp(w.link)
+	w.tell(Stop{})
+	w.arrive(w.client("late"), Request{Key: "k", Wait: time.Minute})
+	w.expect("send a1/0", "send a1/0")
+	w.wentUp(w.link)
+	w.arrive(w.client("later"), Request{Key: "k", Wait: time.Minute})
+	w.did = nil
+	w.pass(time.Minute)
+	if !w.e.ended || slices.Contains(w.did, "move x") || slices.Contains(w.did, "move late") {
+		t.Errorf("ended %t, did %q", w.e.ended, w.did)
+	}
+}
+
+func TestStopWhereConnectionsEndHere(t *testing.T) {
+	w := newWorld(t, 1, func(o *Options) { o.Pass = false })
+	w.arrive(w.client("x"), Request{Key: "k"})
+	w.wentUp(w.link)
+	w.tell(Stop{})
+	w.expect("send a1/0", "move x")
+	w.arrive(w.client("late"), Request{Key: "k"})
+	w.wentUp(w.link)
+	w.pass(time.Minute)
+	w.expect("send a1/0", "move late")
+	w.held(0)
+}
--- a/internal/engine/stop.go
+++ b/internal/engine/stop.go
@@ -18,7 +18,7 @@
 	if e.stopping {
 		return
 	}
-	e.stopping = true
+	e.stopping, e.stoppedAt = true, e.now
 	e.opts.Logger.Printf("msg=stopping connections=%d drain=%v", e.requests.Len(), e.opts.Drain)
 	e.deadlines.Add(e.now+e.opts.Drain, due{kind: dueEnd})
 	if e.opts.Pass {
--- a/internal/netconn/netconn.go
+++ b/internal/netconn/netconn.go
@@ -22,18 +22,33 @@
 type Conn struct {
 	netpoll.Connection
 	writing sync.Mutex
+	closed  bool // guarded by writing
 }
 
-// New wraps a connection.
+// New wraps a connection. Close callbacks that are added later run before its own.
+//
+// It guards against writes to a connection that has just been closed from the other side of a relay: netpoll
+// takes the buffers back then, and a late write would panic. No write begins after the callback, and it
+// waits for one that has begun, which a close wakes.
 func New(c netpoll.Connection) *Conn {
 	c.SetWriteTimeout(WriteFor)
-	return &Conn{Connection: c}
+	n := &Conn{Connection: c}
+	c.AddCloseCallback(func(netpoll.Connection) error {
+		n.writing.Lock()
+		defer n.writing.Unlock()
+		n.closed = true
+		return nil
+	})
+	return n
 }
 
 // Send writes the parts with one gathered write. They may be reused when it returns nil.
 func (c *Conn) Send(parts ...[]byte) error {
 	c.writing.Lock()
 	defer c.writing.Unlock()
+	if c.closed {
+		return netpoll.ErrConnClosed
+	}
 	w := c.Writer()
 	for _, p := range parts {
 		if _, err := w.WriteBinary(p); err != nil {
