--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"log"
+	"sync"
 	"time"
 
 	"github.com/cloudwego/netpoll"
@@ -31,6 +32,7 @@
 	post   func(engine.Event)
 	kick   chan struct{}
 
+	mu      sync.Mutex         // guards conn, which the end of the program closes under a waiting call
 	conn    netpoll.Connection // nil: none
 	version int64
 	have    bool // a list is held
@@ -60,6 +62,8 @@
 // rules decide when that is.
 func (w *Watcher) Run(ctx context.Context) {
 	defer w.close()
+	// A call may wait for many seconds yet; a program that stops must not.
+	defer context.AfterFunc(ctx, w.close)()
 	for {
 		select {
 		case <-ctx.Done():
@@ -68,6 +72,9 @@
 		}
 		for ctx.Err() == nil {
 			m, err := w.call(w.have)
+			if ctx.Err() != nil {
+				return
+			}
 			if err != nil {
 				w.close()
 				w.logger.Printf("msg=%q err=%q", "list not told", err)
@@ -88,12 +95,33 @@
 }
 
 func (w *Watcher) close() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	if w.conn != nil {
 		w.conn.Close()
 		w.conn = nil
 	}
 }
 
+// connect returns the connection for the next call.
+func (w *Watcher) connect() (netpoll.Connection, error) {
+	w.mu.Lock()
+	conn := w.conn
+	w.mu.Unlock()
+	if conn != nil && conn.IsActive() {
+		return conn, nil
+	}
+	w.close()
+	conn, err := netpoll.DialConnection("tcp", w.addr, connectIn)
+	if err != nil {
+		return nil, err
+	}
+	w.mu.Lock()
+	w.conn = conn
+	w.mu.Unlock()
+	return conn, nil
+}
+
 // call asks once: for what is new, or for the whole list.
 func (w *Watcher) call(watch bool) (*Members, error) {
 	target, within := path, answerIn
@@ -101,17 +129,13 @@
 		target = fmt.Sprintf("%s?after=%d&wait_ms=%d", path, w.version, waitFor.Milliseconds())
 		within += waitFor
 	}
-	if w.conn == nil || !w.conn.IsActive() {
-		w.close()
-		conn, err := netpoll.DialConnection("tcp", w.addr, connectIn)
-		if err != nil {
-			return nil, err
-		}
-		w.conn = conn
+	conn, err := w.connect()
+	if err != nil {
+		return nil, err
 	}
-	w.conn.SetWriteTimeout(connectIn)
-	w.conn.SetReadDeadline(time.Now().Add(within))
-	out := w.conn.Writer()
+	conn.SetWriteTimeout(connectIn)
+	conn.SetReadDeadline(time.Now().Add(within))
+	out := conn.Writer()
 	for _, part := range []string{"GET ", target, " HTTP/1.1\r\nHost: ", w.addr, "\r\nAccept: application/json\r\n\r\n"} {
 		if _, err := out.WriteString(part); err != nil {
 			return nil, err
@@ -120,7 +144,7 @@
 	if err := out.Flush(); err != nil {
 		return nil, err
 	}
-	status, body, keep, err := response(w.conn.Reader())
+	status, body, keep, err := response(conn.Reader())
 	if err != nil {
 		return nil, err
 	}
@@ -131,7 +155,7 @@
 		return nil, fmt.Errorf("status %d", status)
 	}
 	m, err := Parse(body)
-	w.conn.Reader().Release()
+	conn.Reader().Release()
 	return m, err
 }
 
