--- a/internal/engine/delay.go
+++ b/internal/engine/delay.go
@@ -34,10 +34,8 @@
 	reportFor  = 2500 * time.Millisecond // a report tells of now for so long
 	// An unloaded server takes about this part of the shortest wanted time for a message.
 	messagePart = 12
-	// Reports are noisy: of loads above this only what lasts counts, as work that piles up.
-	fullLoad = 0.9
-	// The part of the last report in what the load is taken for.
-	reportWeight = 0.5
+	// Of a server that does all it can, more is not told apart.
+	fullLoad = 0.98
 )
 
 // meter holds what is known of how long messages take at a server now.
@@ -52,7 +50,7 @@
 	waiting  time.Duration // of the oldest line that was not, at the last look
 	waiterOf slot.ID
 
-	load     float64 // a moving mean of what was reported
+	load     float64 // as last reported
 	piled    time.Duration
 	reportAt time.Duration // 0: never
 	askedAt  time.Duration
@@ -62,24 +60,19 @@
 }
 
 // report takes in a load report. What is asked for beyond a server's power piles up; what is left of it
-// works that off.
-//
-// A single report may be far off, so the load is a mean of the last few. It guards against a server that is
-// near its capacity being taken for one that drowns: the rules would move its clients off and refuse others.
+// works that off. Reports are noisy, but a mean of the last few comes too late for the rules to keep a
+// server out of its jam: it was tried and lost more than false word costs.
 func (m *meter) report(now time.Duration, r Report) {
-	fresh := m.reportAt > 0 && now-m.reportAt <= reportFor
-	if fresh {
-		m.load += reportWeight * (r.Load - m.load)
-	} else {
-		m.load, m.piled = r.Load, 0
-	}
 	switch {
 	case r.HasPiled:
 		m.piled = r.Piled
-	case r.HasLoad && fresh:
-		m.piled = max(m.piled+time.Duration((m.load-1)*float64(now-m.reportAt)), 0)
+	case r.HasLoad && m.reportAt > 0 && now-m.reportAt <= reportFor:
+		m.piled += time.Duration((r.Load - 1) * float64(now-m.reportAt))
+		m.piled = max(m.piled, 0)
+	default:
+		m.piled = 0
 	}
-	m.reportAt = now
+	m.load, m.reportAt = r.Load, now
 }
 
 // delay is how long a message takes now. aim is the shortest wanted time.
