--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -22,13 +22,16 @@
 // Run carries out a command line and returns the program's exit code.
 func Run(ctx context.Context, args []string, getenv func(string) string, out, errs io.Writer) int {
 	logger := log.New(errs, "", log.LstdFlags|log.Lmicroseconds|log.LUTC)
-	serve := func(ctx context.Context, _ *cli.Command) error {
-		c, err := config.Load(getenv)
+	serve := func(ctx context.Context, c *cli.Command) error {
+		if c.Args().Present() { // a mistyped command must not start a balancer
+			return fmt.Errorf("unknown command %q", c.Args().First())
+		}
+		conf, err := config.Load(getenv)
 		if err != nil {
 			return err
 		}
-		confine(c.Limits)
-		g, err := gateway.New(*c, gateway.WithLogger(logger))
+		confine(conf.Limits)
+		g, err := gateway.New(*conf, gateway.WithLogger(logger))
 		if err != nil {
 			return err
 		}
