Send a server's first probe at once

Seen in internal/backend/probe.go: the channel to a server's probe goroutine held nothing, so the first probe was dropped while the goroutine was not there yet, and the first report came a second late.

--- a/internal/backend/probe.go
+++ b/internal/backend/probe.go
@@ -25,7 +25,7 @@
 	asks   chan struct{}
 }
 
-// Probe implements engine.Prober. One probe a server is out at a time; more are not queued.
+// Probe implements engine.Prober. One probe a server is out at a time, and one more may wait.
 func (b *Backend) Probe(id rules.ServerID, addr string) {
 	p := b.probes[id]
 	if p != nil && p.addr != addr {
@@ -33,13 +33,13 @@
 		p = nil
 	}
 	if p == nil {
-		p = &probe{server: id, addr: addr, asks: make(chan struct{})}
+		p = &probe{server: id, addr: addr, asks: make(chan struct{}, 1)}
 		b.probes[id] = p
 		go p.run(b)
 	}
 	select {
 	case p.asks <- struct{}{}:
-	default: // the last one is still out, or the goroutine not there yet
+	default: // one waits already, behind one that is out
 	}
 }
 
