Reload the configuration on SIGHUP and follow discovery to its new address

Cause: cmd/milletvane caught SIGINT and SIGTERM alone, so SIGHUP had its default effect.

Now internal/command catches SIGHUP and reads the configuration the way a start does; a fault is logged with its key and changes nothing. Gateway.Reload hands the address to the watcher, which cuts the call at the old one and asks the new one for the whole list. Other values are fixed for a life; the log names those that differ. The file's discovery goes over the environment's, at start too, so that a restart after a reload does not go back.

--- a/cmd/milletvane/main.go
+++ b/cmd/milletvane/main.go
@@ -4,14 +4,10 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"example.org/milletvane/internal/command"
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	os.Exit(command.Run(ctx, os.Args, os.Getenv, os.Stdout, os.Stderr))
+	os.Exit(command.Run(context.Background(), os.Args, os.Getenv, os.Stdout, os.Stderr))
 }
--- a/config/config.go
+++ b/config/config.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"os"
+	"reflect"
 	"strconv"
 	"time"
 
@@ -76,7 +77,8 @@
 }
 
 // Load reads the configuration: the file that the environment names, over which the environment's own
-// values go. An error names the faulty key.
+// values go, but for discovery: its address may be replaced in the file while the program runs, and the
+// environment could not follow. An error names the faulty key. A reload is another Load.
 func Load(getenv func(string) string) (*Config, error) {
 	var text []byte
 	if path := getenv(EnvFile); path != "" {
@@ -102,7 +104,7 @@
 	}
 	c := &Config{
 		Name: pick(getenv(EnvName), f.Name), Listen: pick(getenv(EnvListen), f.Listen),
-		Discovery: pick(getenv(EnvDiscovery), f.Discovery),
+		Discovery: pick(f.Discovery, getenv(EnvDiscovery)),
 	}
 	if c.Name == "" {
 		c.Name = "milletvane"
@@ -166,6 +168,27 @@
 	return nil
 }
 
+// FixedChanges lists the keys whose values in a new configuration are others, though they are fixed for a
+// gateway's life. What the program is told anew with each start, the seed and the list, is not among them.
+func (c *Config) FixedChanges(to *Config) (keys []string) {
+	a, b := c.Rules, to.Rules
+	a.Seed, b.Seed = 0, 0
+	for _, k := range []struct {
+		key  string
+		same bool
+	}{
+		{"name", c.Name == to.Name},
+		{"listen", c.Listen == to.Listen},
+		{"limits", c.Limits == to.Limits},
+		{"settings", reflect.DeepEqual(a, b) && c.Node == to.Node},
+	} {
+		if !k.same {
+			keys = append(keys, k.key)
+		}
+	}
+	return keys
+}
+
 func given(raw json.RawMessage) bool { return len(raw) > 0 && string(raw) != "null" }
 
 func pick(first, second string) string {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -1,5 +1,5 @@
-// Package gateway is a balancer as a library: New takes a checked configuration and Run serves until its
-// context is done.
+// Package gateway is a balancer as a library: New takes a checked configuration, Run serves until its context
+// is done, and Reload goes over to a new configuration meanwhile.
 package gateway
 
 import (
@@ -55,6 +55,14 @@
 	return g, nil
 }
 
+// Reload goes over to a new configuration while Run serves: discovery's new address is asked at once. All else
+// is fixed for a gateway's life; where the new configuration has another value for it, the log says so. Reload
+// may be called at any time and from any goroutine.
+func (g *Gateway) Reload(c config.Config) {
+	g.logger.Printf("msg=reloaded discovery=%s kept=%q", c.Discovery, g.config.FixedChanges(&c))
+	g.watcher.SetAddr(c.Discovery)
+}
+
 // Run serves until ctx is done, and then until what still comes has been answered. It returns an error where
 // the address cannot be listened on or the listener breaks.
 func (g *Gateway) Run(ctx context.Context) error {
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -1,4 +1,5 @@
-// Package command is milletvane's command line.
+// Package command is milletvane's command line, and what signals do: SIGTERM and SIGINT stop the program in
+// order, SIGHUP has it read its configuration again.
 package command
 
 import (
@@ -7,8 +8,11 @@
 	"io"
 	"log"
 	"math"
+	"os"
+	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"syscall"
 
 	"github.com/urfave/cli/v3"
 
@@ -26,6 +30,12 @@
 		if c.Args().Present() { // a mistyped command must not start a balancer
 			return fmt.Errorf("unknown command %q", c.Args().First())
 		}
+		// Signals are caught before anything else is done: one that comes early must not end the program.
+		ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+		defer stop()
+		hups := make(chan os.Signal, 1)
+		signal.Notify(hups, syscall.SIGHUP)
+		defer signal.Stop(hups)
 		conf, err := config.Load(getenv)
 		if err != nil {
 			return err
@@ -35,6 +45,23 @@
 		if err != nil {
 			return err
 		}
+		done := make(chan struct{})
+		defer close(done)
+		go func() {
+			for {
+				select {
+				case <-done:
+					return
+				case <-hups:
+				}
+				// A fault in the new file must not end a program that serves.
+				if c, err := config.Load(getenv); err != nil {
+					logger.Printf("msg=%q err=%q", "not reloaded, the old configuration stays", err)
+				} else {
+					g.Reload(*c)
+				}
+			}
+		}()
 		return g.Run(ctx)
 	}
 	root := &cli.Command{
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -3,8 +3,17 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strings"
+	"sync"
+	"syscall"
 	"testing"
+	"time"
 )
 
 func run(env map[string]string, args ...string) (code int, out, errs string) {
@@ -38,3 +47,87 @@
 		t.Errorf("an unknown command: exit %d, %q", code, errs)
 	}
 }
+
+// SIGHUP has the file read again: a good one is gone by though the environment still names the old discovery,
+// a bad one changes nothing, and neither ends the program. SIGTERM does.
+func TestSIGHUPReloads(t *testing.T) {
+	called := make(chan string, 100)
+	service := func(name string) string {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			called <- name + " " + r.URL.RequestURI()
+			if r.URL.RawQuery != "" {
+				<-r.Context().Done() // a watch, cut by the gateway
+			}
+			io.WriteString(w, `{"version":7,"full":true,"servers":[]}`)
+		}))
+		t.Cleanup(s.Close)
+		return s.Listener.Addr().String()
+	}
+	expect := func(want string) {
+		t.Helper()
+		select {
+		case got := <-called:
+			if got != want {
+				t.Fatalf("called %q, want %q", got, want)
+			}
+		case <-time.After(20 * time.Second):
+			t.Fatalf("%q was not called", want)
+		}
+	}
+	first, second := service("first"), service("second")
+	path := filepath.Join(t.TempDir(), "config.json")
+	write := func(discovery string) {
+		t.Helper()
+		text := fmt.Sprintf(`{"listen":"127.0.0.1:0","discovery":%q,"settings":{"discovery":"ask"}}`, discovery)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(first)
+	var errs lockedBuffer
+	code := make(chan int, 1)
+	env := map[string]string{"PROXY_CONFIG": path, "PROXY_DISCOVERY": first}
+	go func() {
+		code <- Run(context.Background(), []string{"milletvane"}, func(k string) string { return env[k] }, io.Discard, &errs)
+	}()
+	const whole, watch = "/catalog/members", "/catalog/members?after=7&wait_ms=10000"
+	expect("first " + whole)
+	expect("first " + watch)
+	write("nowhere")
+	syscall.Kill(os.Getpid(), syscall.SIGHUP)
+	for until := time.Now().Add(20 * time.Second); !strings.Contains(errs.String(), "discovery (PROXY_DISCOVERY)"); {
+		if time.Now().After(until) {
+			t.Fatalf("no word of the faulty key in %q", errs.String())
+		}
+		time.Sleep(time.Millisecond)
+	}
+	write(second)
+	syscall.Kill(os.Getpid(), syscall.SIGHUP)
+	expect("second " + whole)
+	expect("second " + watch)
+	write(first) // more than once
+	syscall.Kill(os.Getpid(), syscall.SIGHUP)
+	expect("first " + whole)
+	expect("first " + watch)
+	syscall.Kill(os.Getpid(), syscall.SIGTERM)
+	if c := <-code; c != 0 {
+		t.Errorf("exit %d: %s", c, errs.String())
+	}
+}
+
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -25,22 +25,28 @@
 	path      = "/catalog/members"
 )
 
+// errMoved ends a call at an address that is discovery's no longer.
+var errMoved = errors.New("discovery has another address")
+
 // Watcher implements engine.Lister.
 type Watcher struct {
-	addr   string
 	logger *log.Logger
 	post   func(engine.Event)
 	kick   chan struct{}
 
-	mu      sync.Mutex         // guards conn, which the end of the program closes under a waiting call
-	conn    netpoll.Connection // nil: none
+	mu   sync.Mutex         // guards what follows: SetAddr and the end of the program cut a waiting call
+	addr string             // of the service
+	conn netpoll.Connection // nil: none
+
+	// Run's goroutine alone uses these.
+	asked   string // the address that the last call went to
 	version int64
-	have    bool // a list is held
+	have    bool // a list of that address is held
 }
 
 // New returns a Watcher of the service at addr. known is the list as last held; nil: none.
 func New(addr string, known *Members, logger *log.Logger) *Watcher {
-	w := &Watcher{addr: addr, logger: logger, kick: make(chan struct{}, 1)}
+	w := &Watcher{addr: addr, asked: addr, logger: logger, kick: make(chan struct{}, 1)}
 	if known != nil && len(known.Servers) > 0 {
 		w.version, w.have = known.Version, true
 	}
@@ -58,6 +64,26 @@
 	}
 }
 
+// SetAddr names the service's new address. A call at the old one ends now, and the new one is asked at once for
+// the whole list: no news of the old one is waited for, nor is a change lost between the two.
+func (w *Watcher) SetAddr(addr string) {
+	w.mu.Lock()
+	moved := addr != w.addr
+	w.addr = addr
+	w.mu.Unlock()
+	if moved {
+		w.close()
+		w.Watch()
+	}
+}
+
+// current is the service's address now.
+func (w *Watcher) current() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.addr
+}
+
 // Run carries watches out until ctx is done. When one fails it says so and waits to be asked again, as the
 // rules decide when that is.
 func (w *Watcher) Run(ctx context.Context) {
@@ -71,13 +97,20 @@
 		case <-w.kick:
 		}
 		for ctx.Err() == nil {
-			m, err := w.call(w.have)
+			m, err := w.call()
 			if ctx.Err() != nil {
 				return
 			}
+			if w.current() != w.asked {
+				continue // whatever came of a call at the old address is not to be gone by
+			}
 			if err != nil {
 				w.close()
-				w.logger.Printf("msg=%q err=%q", "list not told", err)
+				select { // what was asked for before this failure is no wish to call again at once
+				case <-w.kick:
+				default:
+				}
+				w.logger.Printf("msg=%q addr=%s err=%q", "list not told", w.asked, err)
 				w.post(engine.List{Mode: rules.Failed})
 				break
 			}
@@ -103,40 +136,47 @@
 	}
 }
 
-// connect returns the connection for the next call.
+// connect returns the connection for the next call. One to another address gives no list to go on from.
 func (w *Watcher) connect() (netpoll.Connection, error) {
 	w.mu.Lock()
-	conn := w.conn
+	addr, conn := w.addr, w.conn
 	w.mu.Unlock()
+	if addr != w.asked {
+		w.asked, w.have = addr, false
+	}
 	if conn != nil && conn.IsActive() {
 		return conn, nil
 	}
 	w.close()
-	conn, err := netpoll.DialConnection("tcp", w.addr, connectIn)
+	conn, err := netpoll.DialConnection("tcp", addr, connectIn)
 	if err != nil {
 		return nil, err
 	}
 	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.addr != addr { // SetAddr did not see this connection
+		conn.Close()
+		return nil, errMoved
+	}
 	w.conn = conn
-	w.mu.Unlock()
 	return conn, nil
 }
 
-// call asks once: for what is new, or for the whole list.
-func (w *Watcher) call(watch bool) (*Members, error) {
-	target, within := path, answerIn
-	if watch {
-		target = fmt.Sprintf("%s?after=%d&wait_ms=%d", path, w.version, waitFor.Milliseconds())
-		within += waitFor
-	}
+// call asks once: for what is new, or where no list is held for the whole of it.
+func (w *Watcher) call() (*Members, error) {
 	conn, err := w.connect()
 	if err != nil {
 		return nil, err
 	}
+	target, within := path, answerIn
+	if w.have {
+		target = fmt.Sprintf("%s?after=%d&wait_ms=%d", path, w.version, waitFor.Milliseconds())
+		within += waitFor
+	}
 	conn.SetWriteTimeout(connectIn)
 	conn.SetReadDeadline(time.Now().Add(within))
 	out := conn.Writer()
-	for _, part := range []string{"GET ", target, " HTTP/1.1\r\nHost: ", w.addr, "\r\nAccept: application/json\r\n\r\n"} {
+	for _, part := range []string{"GET ", target, " HTTP/1.1\r\nHost: ", w.asked, "\r\nAccept: application/json\r\n\r\n"} {
 		if _, err := out.WriteString(part); err != nil {
 			return nil, err
 		}
