Hold open connections until the platform ends the program where packets pass

Checked: a trace of each request. When a balancer ended by itself 3.5 s after SIGTERM its 31 clients came again 1.5 s later as broken ones (again=1) and were set up anew, up to 380 ms each; none came with mid=1.

Line at fault: config.Parse set Drain to 3.5 s for any mode. The platform ends the program no sooner than 3.7 s after SIGTERM, and where packets pass through it may hold connections then.

--- a/config/config.go
+++ b/config/config.go
@@ -37,6 +37,9 @@
 	minSockets = ownSockets + 16
 	drainMost  = 3 * time.Second        // a longer deadline is taken as this when the platform ends a program,
 	drainMore  = 500 * time.Millisecond // and a client that comes late still has its answer
+	// Where packets pass through, another gateway takes up what is open when this one is gone. An end before the
+	// platform ends the program would break these connections instead, so it is left to the platform for so long.
+	drainPass = 15 * time.Second
 )
 
 // Limits are what the program may use.
@@ -171,6 +174,9 @@
 		c.Node.LongestWait = defaultLongestWait
 	}
 	c.Drain = min(c.Node.LongestWait, drainMost) + drainMore
+	if c.Node.Pass {
+		c.Drain = drainPass
+	}
 	return nil
 }
 
