Move clients off a silent server 4 s after a line that is not returned

Checked: a trace of the waits showed a connection at 5.8 s after its oldest line without return, still held. Clients send a line every 2 s and the end is owed 7 s after the last thing that came, so with silentFor at 6 s a connection could be held for 8.25 s. Pauses of servers last 0.4 s, and one server came back after 2 s in that trace; 4 s is beyond both, and 6.25 s is the most that a client now waits.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -153,9 +153,11 @@
 const (
 	// A connection that asks for nothing is closed after this. Clients send their line at once, and those that
 	// do not are owed an end within 3 s.
-	openingFor  = 2500 * time.Millisecond
-	carriedFor  = 40 * time.Second       // an attempt to take up a connection from before the run
-	silentFor   = 6 * time.Second        // a server that returns no line for this long has lost its clients
+	openingFor = 2500 * time.Millisecond
+	carriedFor = 40 * time.Second // an attempt to take up a connection from before the run
+	// A server that returns no line for this long has lost its clients. They are owed an end 7 s after the last
+	// thing that came, and send a line every 2 s, so that the first without return is up to 2 s younger.
+	silentFor   = 4 * time.Second
 	tickEvery   = 250 * time.Millisecond // between looks at open connections
 	delayTold   = time.Second            // between words of slow messages at one server
 	quietFor    = time.Second            // after Stop, clients may come this long though none is left
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -35,10 +35,10 @@
 func (c *fakeClient) Move()                  { c.w.note("move %s", c.name) }
 
 type fakeLink struct {
-	w       *world
-	a       Attempt
-	up      bool
-	waiting time.Duration
+	w     *world
+	a     Attempt
+	up    bool
+	asked time.Duration // when the line was sent that is not returned; 0: none is
 }
 
 func (l *fakeLink) Abandon() bool {
@@ -47,7 +47,12 @@
 	}
 	return !l.up
 }
-func (l *fakeLink) Waiting() time.Duration { return l.waiting }
+func (l *fakeLink) Waiting() time.Duration {
+	if l.asked > 0 {
+		return l.w.now - l.asked
+	}
+	return 0
+}
 
 func (w *world) Send(a Attempt) Link {
 	w.note("send %s/%d", a.Addr, a.Number)
@@ -274,14 +279,18 @@
 	w.held(1)
 }
 
-// A connection whose server returns nothing is open and silent; TCP would not notice for hours.
+// A connection whose server returns nothing is open and silent; TCP would not notice for hours. Its client is
+// moved within 7 s of the last thing that came, of which 2 s may pass before it sends its next line.
 func TestSilentServerLosesItsClient(t *testing.T) {
 	w := newWorld(t, 1, nil)
 	w.arrive(w.client("x"), Request{Key: "k"})
 	w.wentUp(w.link)
-	w.link.waiting = silentFor + time.Millisecond
-	w.pass(300 * time.Millisecond)
-	w.expect("send a1/0", "move x")
+	w.pass(2 * time.Second)
+	w.link.asked = w.now
+	w.pass(3 * time.Second)
+	w.expect("send a1/0") // a pause, it may be
+	w.pass(2 * time.Second)
+	w.expect("move x")
 	w.held(0)
 }
 
