Cut a moved client off when its server stops within a line

Seen in the code, confirmed by the new test: Conn.move waits for the rest of a line that has begun, so that MOVE stands between two lines, and the engine had given up the slot by then. A server that hangs within a line left client, server and both descriptors held with nobody to end them.

Now the slot stays, in a phase of its own, until the front says that the client has been told; a second after the move the client is cut off.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -18,12 +18,13 @@
 type Ticket struct{ id slot.ID }
 
 // Client is the front's end of a connection. The engine calls it from its own goroutine; no method may
-// wait for the peer. Refuse, Fail and Close are final: the client sends no Left after them.
+// wait for the peer. Refuse, Fail and Close are final: the client sends no Left after them. After Move it sends
+// Left once it has been told.
 type Client interface {
 	Slot() *Ticket
 	Refuse(after time.Duration) // nothing was done; trying again is harmless
 	Fail()                      // failed, with no promise, or never to be done
-	Close()                     // ended before it asked for anything
+	Close()                     // ended, both sides, with no word
 	Move()                      // an open connection: send the client away politely and end both sides
 }
 
@@ -158,6 +159,7 @@
 	// A server that returns no line for this long has lost its clients. They are owed an end 7 s after the last
 	// thing that came, and send a line every 2 s, so that the first without return is up to 2 s younger.
 	silentFor   = 4 * time.Second
+	moveWithin  = time.Second            // a client is told MOVE, or else cut off
 	tickEvery   = 250 * time.Millisecond // between looks at open connections
 	delayTold   = time.Second            // between words of slow messages at one server
 	quietFor    = time.Second            // after Stop, clients may come this long though none is left
@@ -173,6 +175,7 @@
 	dueAttempt
 	dueAnswer
 	dueOpening
+	dueMove
 	dueTick
 	dueStats
 	dueEnd
@@ -190,6 +193,7 @@
 	opening phase = iota // has asked for nothing
 	waiting              // its final answer is owed
 	open                 // stands at a server
+	leaving              // is being told to move; the rules know it no more
 )
 
 type request struct {
@@ -384,6 +388,12 @@
 			if r != nil && r.phase == opening {
 				e.close(r)
 			}
+		case dueMove:
+			// Its server stopped within a line, behind which it was to be told.
+			if r != nil && r.phase == leaving {
+				r.client.Close()
+				e.free(r)
+			}
 		case dueTick:
 			e.deadlines.Add(e.now+tickEvery, due{kind: dueTick})
 			e.look()
@@ -547,7 +557,7 @@
 	if r == nil {
 		return
 	}
-	if r.phase != opening {
+	if r.phase == waiting || r.phase == open {
 		e.counts.left++
 	}
 	e.drop(r)
@@ -556,7 +566,7 @@
 // drop ends a request whose client is gone, and the attempt that is out for it.
 func (e *Engine) drop(r *request) {
 	e.free(r)
-	if r.phase == opening {
+	if r.phase == opening || r.phase == leaving {
 		return
 	}
 	id := rules.RequestID(r.id)
@@ -671,11 +681,15 @@
 	}
 }
 
-// move sends an open connection's client away politely; its attempt ends with the result.
+// move sends an open connection's client away politely; its attempt ends with the result. Its slot is kept until
+// it has been told.
 func (e *Engine) move(r *request, result rules.Result) {
 	e.counts.moved++
+	r.phase, r.link = leaving, nil
+	e.rearm(&r.answer, e.now+moveWithin, due{kind: dueMove, id: r.id})
 	r.client.Move()
-	e.outcome(r, result)
+	e.tell(rules.Outcome{ID: rules.RequestID(r.id), Attempt: r.attempts - 1, Server: r.server, Result: result,
+		Elapsed: e.now - r.sent, Settled: true})
 }
 
 func (e *Engine) onSend(a rules.Send) {
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -283,7 +283,8 @@
 // moved within 7 s of the last thing that came, of which 2 s may pass before it sends its next line.
 func TestSilentServerLosesItsClient(t *testing.T) {
 	w := newWorld(t, 1, nil)
-	w.arrive(w.client("x"), Request{Key: "k"})
+	c := w.client("x")
+	w.arrive(c, Request{Key: "k"})
 	w.wentUp(w.link)
 	w.pass(2 * time.Second)
 	w.link.asked = w.now
@@ -291,6 +292,22 @@
 	w.expect("send a1/0") // a pause, it may be
 	w.pass(2 * time.Second)
 	w.expect("move x")
+	w.held(1)
+	w.tell(Left{c}) // it has been told
+	w.held(0)
+	w.pass(10 * time.Second)
+	w.expect()
+}
+
+// Where the server stops within a line, behind which its client was to be told, the client is cut off.
+func TestMoveThatCannotBeToldEnds(t *testing.T) {
+	w := newWorld(t, 1, nil)
+	w.arrive(w.client("x"), Request{Key: "k"})
+	w.wentUp(w.link)
+	w.link.asked = w.now
+	w.pass(10 * time.Second)
+	w.expect("send a1/0", "move x", "close x")
+	w.ended(w.link, rules.Reset)
 	w.held(0)
 }
 
@@ -375,13 +392,17 @@
 
 func TestStopWhereConnectionsEndHere(t *testing.T) {
 	w := newWorld(t, 1, func(o *Options) { o.Pass = false })
-	w.arrive(w.client("x"), Request{Key: "k"})
+	c := w.client("x")
+	w.arrive(c, Request{Key: "k"})
 	w.wentUp(w.link)
 	w.tell(Stop{})
 	w.expect("send a1/0", "move x")
-	w.arrive(w.client("late"), Request{Key: "k"})
+	w.tell(Left{c})
+	late := w.client("late")
+	w.arrive(late, Request{Key: "k"})
 	w.wentUp(w.link)
 	w.pass(time.Minute)
 	w.expect("send a1/0", "move late")
+	w.tell(Left{late})
 	w.held(0)
 }
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -197,7 +197,14 @@
 func (c *Conn) Fail() { c.final([]byte(lineproto.Err)) }
 
 // Close implements engine.Client.
-func (c *Conn) Close() { c.final(nil) }
+func (c *Conn) Close() {
+	if c.finish() {
+		c.conn.Close()
+	}
+	if c.link != nil { // it had been sent MOVE for a line that never ended
+		c.link.End(false)
+	}
+}
 
 // Move implements engine.Client. The client may be slow to read, so it is told from a goroutine of its own.
 func (c *Conn) Move() { go c.move() }
@@ -222,6 +229,7 @@
 	if c.link != nil {
 		c.link.End(false)
 	}
+	c.front.engine.Post(engine.Left{Client: c})
 }
 
 // Forward implements backend.Client.
