--- a/config/config.go
+++ b/config/config.go
@@ -158,6 +158,9 @@
 	if err != nil {
 		return fmt.Errorf("settings.%w", err)
 	}
+	if _, said := pairs["discovery"]; !said {
+		set.AskList = true // an address is given, so there is something to ask
+	}
 	if f.Seed != "" {
 		if set.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
 			return fmt.Errorf("seed: %q is not 64 bits of hex", f.Seed)
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -101,3 +101,17 @@
 		t.Errorf("named %q", keys)
 	}
 }
+
+// A gateway that is given an address asks there, unless the settings say otherwise.
+func TestDiscoveryIsAskedWhereNothingElseIsSaid(t *testing.T) {
+	for text, want := range map[string]bool{
+		`{"listen":"127.0.0.1:1","discovery":"127.0.0.1:2"}`:                                 true,
+		`{"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","settings":{}}`:                   true,
+		`{"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","settings":{"discovery":"ask"}}`:  true,
+		`{"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","settings":{"discovery":"push"}}`: false,
+	} {
+		if c, err := Parse([]byte(text), none); err != nil || c.Rules.AskList != want {
+			t.Errorf("%s: %v, asks %v", text, err, c.Rules.AskList)
+		}
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,23 +5,26 @@
 import (
 	"context"
 	"fmt"
-	"log"
+	"log/slog"
+	"math"
 	"sync"
 	"time"
 
 	"example.org/milletvane/config"
-	"example.org/milletvane/internal/backend"
 	"example.org/milletvane/internal/discovery"
 	"example.org/milletvane/internal/engine"
-	"example.org/milletvane/internal/front"
+	"example.org/milletvane/internal/line/backend"
+	"example.org/milletvane/internal/line/front"
+	"example.org/milletvane/internal/reactor"
 	"example.org/milletvane/rules"
 )
 
 // Gateway is one balancer.
 type Gateway struct {
 	config  config.Config
-	logger  *log.Logger
+	logger  *slog.Logger
 	engine  *engine.Engine
+	lines   *backend.Backend
 	watcher *discovery.Watcher
 }
 
@@ -29,11 +32,11 @@
 type Option func(*Gateway)
 
 // WithLogger sets the logger; the standard one serves otherwise.
-func WithLogger(l *log.Logger) Option { return func(g *Gateway) { g.logger = l } }
+func WithLogger(l *slog.Logger) Option { return func(g *Gateway) { g.logger = l } }
 
 // New returns a gateway that has not started.
 func New(c config.Config, options ...Option) (*Gateway, error) {
-	g := &Gateway{config: c, logger: log.Default()}
+	g := &Gateway{config: c, logger: slog.Default()}
 	for _, o := range options {
 		o(g)
 	}
@@ -54,7 +57,7 @@
 		Pass: c.Node.Pass, TellsDelay: c.Node.TellsDelay, MessageAim: c.Node.MessageAim, Probes: c.Node.Probes, Drain: c.Drain,
 		Logger: g.logger,
 	}, balancer, attempts, g.watcher, attempts)
-	attempts.Connect(g.engine)
+	g.lines = attempts
 	g.watcher.Connect(g.engine.Post)
 	return g, nil
 }
@@ -63,48 +66,41 @@
 // is fixed for a gateway's life; where the new configuration has another value for it, the log says so. Reload
 // may be called at any time and from any goroutine.
 func (g *Gateway) Reload(c config.Config) {
-	g.logger.Printf("msg=reloaded discovery=%s kept=%q", c.Discovery, g.config.FixedChanges(&c))
+	g.logger.Info("reloaded", "discovery", c.Discovery, "kept", g.config.FixedChanges(&c))
 	g.watcher.SetAddr(c.Discovery)
 }
 
 // Run serves until ctx is done, and then until what still comes has been answered. It returns an error where
 // the address cannot be listened on or the listener breaks.
 func (g *Gateway) Run(ctx context.Context) error {
-	f, err := front.Listen(g.config.Listen, g.engine, g.logger)
+	// One loop a core: each handles what comes where it stands.
+	conns, err := reactor.New(int(math.Ceil(g.config.Limits.Cores)))
+	if err != nil {
+		return fmt.Errorf("gateway: %w", err)
+	}
+	defer conns.Close()
+	g.lines.Connect(g.engine, conns)
+	f, err := front.Listen(g.config.Listen, g.engine, conns)
 	if err != nil {
 		return fmt.Errorf("listen %s: %w", g.config.Listen, err)
 	}
 	watching, stopWatching := context.WithCancel(context.Background())
-	running, stopRunning := context.WithCancel(ctx)
 	defer stopWatching()
-	defer stopRunning()
 	var wg sync.WaitGroup
 	wg.Go(func() { g.watcher.Run(watching) })
-	broke := make(chan error, 1)
-	wg.Go(func() {
-		if err := f.Serve(); err != nil {
-			broke <- err
-			stopRunning()
-		}
-	})
 	// The rules start with the list as last held, and ask for a new one by themselves.
 	stored := engine.List{Mode: rules.Stored}
 	if g.config.Known != nil {
 		stored = g.config.Known.List(rules.Stored)
 	}
 	g.engine.Post(stored)
-	g.logger.Printf("msg=serving name=%s listen=%s discovery=%s pass=%t connections=%d",
-		g.config.Name, f.Addr(), g.config.Discovery, g.config.Node.Pass, g.config.Limits.Connections())
-	g.engine.Run(running, clock())
+	g.logger.Info("serving", "name", g.config.Name, "listen", f.Addr(), "discovery", g.config.Discovery,
+		"pass", g.config.Node.Pass, "connections", g.config.Limits.Connections())
+	g.engine.Run(ctx, clock())
 	f.Close()
 	stopWatching()
 	wg.Wait()
-	select {
-	case err := <-broke:
-		return err
-	default:
-		return nil
-	}
+	return nil
 }
 
 // clock tells Unix time, as discovery does, but never steps back.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -5,7 +5,7 @@
 	"context"
 	"fmt"
 	"io"
-	"log"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -146,7 +146,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	g, err := gateway.New(*c, gateway.WithLogger(log.New(io.Discard, "", 0)))
+	g, err := gateway.New(*c, gateway.WithLogger(slog.New(slog.DiscardHandler)))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -6,12 +6,10 @@
 	"context"
 	"fmt"
 	"io"
-	"log"
-	"math"
+	"log/slog"
 	"os"
 	"os/signal"
 	"runtime"
-	"runtime/debug"
 	"syscall"
 
 	"github.com/urfave/cli/v3"
@@ -25,7 +23,7 @@
 
 // Run carries out a command line and returns the program's exit code.
 func Run(ctx context.Context, args []string, getenv func(string) string, out, errs io.Writer) int {
-	logger := log.New(errs, "", log.LstdFlags|log.Lmicroseconds|log.LUTC)
+	logger := slog.New(slog.NewTextHandler(errs, nil)) // until the flags are read
 	serve := func(ctx context.Context, c *cli.Command) error {
 		if c.Args().Present() { // a mistyped command must not start a balancer
 			return fmt.Errorf("unknown command %q", c.Args().First())
@@ -40,7 +38,7 @@
 		if err != nil {
 			return err
 		}
-		confine(conf.Limits)
+		gateway.Confine(conf.Limits)
 		g, err := gateway.New(*conf, gateway.WithLogger(logger))
 		if err != nil {
 			return err
@@ -56,7 +54,7 @@
 				}
 				// A fault in the new file must not end a program that serves.
 				if c, err := config.Load(getenv); err != nil {
-					logger.Printf("msg=%q err=%q", "not reloaded, the old configuration stays", err)
+					logger.Error("not reloaded, the old configuration stays", "err", err)
 				} else {
 					g.Reload(*c)
 				}
@@ -69,7 +67,19 @@
 		Usage:     "balances long-lived connections over the servers that discovery lists",
 		Writer:    out,
 		ErrWriter: errs,
-		Action:    serve,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "log-format", Value: "text", Usage: "text (key=value) or json"},
+			&cli.StringFlag{Name: "log-level", Value: "info", Usage: "debug, info, warn or error"},
+		},
+		Before: func(ctx context.Context, c *cli.Command) (context.Context, error) {
+			l, err := newLogger(errs, c.String("log-format"), c.String("log-level"))
+			if err != nil {
+				return ctx, err
+			}
+			logger = l
+			return ctx, nil
+		},
+		Action: serve,
 		Commands: []*cli.Command{
 			{Name: "serve", Usage: "serve clients until told to stop (the default)", Action: serve},
 			{
@@ -95,14 +105,24 @@
 		ExitErrHandler: func(context.Context, *cli.Command, error) {}, // the exit code is ours to give
 	}
 	if err := root.Run(ctx, args); err != nil {
-		logger.Printf("msg=failed err=%q", err)
+		logger.Error("failed", "err", err)
 		return 1
 	}
 	return 0
 }
 
-// confine keeps the runtime within the limits: garbage is collected sooner as memory runs short.
-func confine(l config.Limits) {
-	runtime.GOMAXPROCS(max(int(math.Ceil(l.Cores)), 1))
-	debug.SetMemoryLimit(int64(l.MemoryMB) << 20 * 3 / 4)
+// newLogger writes lines of the given form, from the given level up.
+func newLogger(out io.Writer, form, level string) (*slog.Logger, error) {
+	var least slog.Level
+	if err := least.UnmarshalText([]byte(level)); err != nil {
+		return nil, fmt.Errorf("log-level: %q is not debug, info, warn or error", level)
+	}
+	o := &slog.HandlerOptions{Level: least}
+	switch form {
+	case "text":
+		return slog.New(slog.NewTextHandler(out, o)), nil
+	case "json":
+		return slog.New(slog.NewJSONHandler(out, o)), nil
+	}
+	return nil, fmt.Errorf("log-format: %q is not text or json", form)
 }
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -5,12 +5,13 @@
 	"context"
 	"errors"
 	"fmt"
-	"log"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
 	"sync"
 	"time"
 
-	"github.com/cloudwego/netpoll"
-
 	"example.org/milletvane/internal/engine"
 	"example.org/milletvane/rules"
 )
@@ -25,18 +26,18 @@
 	path      = "/catalog/members"
 )
 
-// errMoved ends a call at an address that is discovery's no longer.
-var errMoved = errors.New("discovery has another address")
+var errTooLong = errors.New("the list is too long")
 
 // Watcher implements engine.Lister.
 type Watcher struct {
-	logger *log.Logger
+	logger *slog.Logger
 	post   func(engine.Event)
+	client *http.Client
 	kick   chan struct{}
 
 	mu   sync.Mutex         // guards what follows: SetAddr and the end of the program cut a waiting call
 	addr string             // of the service
-	conn netpoll.Connection // nil: none
+	cut  context.CancelFunc // of the call that is out; nil: none was yet
 
 	// Run's goroutine alone uses these.
 	asked   string // the address that the last call went to
@@ -45,8 +46,13 @@
 }
 
 // New returns a Watcher of the service at addr. known is the list as last held; nil: none.
-func New(addr string, known *Members, logger *log.Logger) *Watcher {
+func New(addr string, known *Members, logger *slog.Logger) *Watcher {
 	w := &Watcher{addr: addr, asked: addr, logger: logger, kick: make(chan struct{}, 1)}
+	// One connection of its own, kept between calls; no proxy of the environment's stands between.
+	w.client = &http.Client{Transport: &http.Transport{
+		DialContext:     (&net.Dialer{Timeout: connectIn}).DialContext,
+		MaxConnsPerHost: 1, MaxResponseHeaderBytes: 16 << 10, DisableCompression: true,
+	}, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 	if known != nil && len(known.Servers) > 0 {
 		w.version, w.have = known.Version, true
 	}
@@ -87,9 +93,7 @@
 // Run carries watches out until ctx is done. When one fails it says so and waits to be asked again, as the
 // rules decide when that is.
 func (w *Watcher) Run(ctx context.Context) {
-	defer w.close()
-	// A call may wait for many seconds yet; a program that stops must not.
-	defer context.AfterFunc(ctx, w.close)()
+	defer w.client.CloseIdleConnections()
 	for {
 		select {
 		case <-ctx.Done():
@@ -97,7 +101,7 @@
 		case <-w.kick:
 		}
 		for ctx.Err() == nil {
-			m, err := w.call()
+			m, err := w.call(ctx)
 			if ctx.Err() != nil {
 				return
 			}
@@ -105,12 +109,11 @@
 				continue // whatever came of a call at the old address is not to be gone by
 			}
 			if err != nil {
-				w.close()
 				select { // what was asked for before this failure is no wish to call again at once
 				case <-w.kick:
 				default:
 				}
-				w.logger.Printf("msg=%q addr=%s err=%q", "list not told", w.asked, err)
+				w.logger.Warn("list not told", "addr", w.asked, "err", err)
 				w.post(engine.List{Mode: rules.Failed})
 				break
 			}
@@ -119,7 +122,7 @@
 				mode = rules.Complete
 			}
 			if m.Full || len(m.Servers) > 0 {
-				w.logger.Printf("msg=list version=%d full=%t servers=%d", m.Version, m.Full, len(m.Servers))
+				w.logger.Info("list", "version", m.Version, "full", m.Full, "servers", len(m.Servers))
 			}
 			w.version, w.have = m.Version, true
 			w.post(m.List(mode))
@@ -127,143 +130,56 @@
 	}
 }
 
+// close ends the call that is out, if any.
 func (w *Watcher) close() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.conn != nil {
-		w.conn.Close()
-		w.conn = nil
+	if w.cut != nil {
+		w.cut()
 	}
 }
 
-// connect returns the connection for the next call. One to another address gives no list to go on from.
-func (w *Watcher) connect() (netpoll.Connection, error) {
-	w.mu.Lock()
-	addr, conn := w.addr, w.conn
-	w.mu.Unlock()
-	if addr != w.asked {
-		w.asked, w.have = addr, false
-	}
-	if conn != nil && conn.IsActive() {
-		return conn, nil
-	}
-	w.close()
-	conn, err := netpoll.DialConnection("tcp", addr, connectIn)
-	if err != nil {
-		return nil, err
-	}
+// begin returns the next call's context and address. Another address gives no list to go on from.
+func (w *Watcher) begin(ctx context.Context) (context.Context, context.CancelFunc) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.addr != addr { // SetAddr did not see this connection
-		conn.Close()
-		return nil, errMoved
+	if w.addr != w.asked {
+		w.asked, w.have = w.addr, false
+		w.client.CloseIdleConnections()
 	}
-	w.conn = conn
-	return conn, nil
+	ctx, w.cut = context.WithCancel(ctx)
+	return ctx, w.cut
 }
 
 // call asks once: for what is new, or where no list is held for the whole of it.
-func (w *Watcher) call() (*Members, error) {
-	conn, err := w.connect()
-	if err != nil {
-		return nil, err
-	}
-	target, within := path, answerIn
+func (w *Watcher) call(ctx context.Context) (*Members, error) {
+	ctx, cut := w.begin(ctx)
+	defer cut()
+	target, within := "http://"+w.asked+path, connectIn+answerIn
 	if w.have {
-		target = fmt.Sprintf("%s?after=%d&wait_ms=%d", path, w.version, waitFor.Milliseconds())
+		target = fmt.Sprintf("%s?after=%d&wait_ms=%d", target, w.version, waitFor.Milliseconds())
 		within += waitFor
 	}
-	conn.SetWriteTimeout(connectIn)
-	conn.SetReadDeadline(time.Now().Add(within))
-	out := conn.Writer()
-	for _, part := range []string{"GET ", target, " HTTP/1.1\r\nHost: ", w.asked, "\r\nAccept: application/json\r\n\r\n"} {
-		if _, err := out.WriteString(part); err != nil {
-			return nil, err
-		}
-	}
-	if err := out.Flush(); err != nil {
-		return nil, err
-	}
-	status, body, keep, err := response(conn.Reader())
+	ctx, end := context.WithTimeout(ctx, within)
+	defer end()
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	if err != nil {
 		return nil, err
 	}
-	if !keep {
-		defer w.close()
-	}
-	if status != 200 {
-		return nil, fmt.Errorf("status %d", status)
-	}
-	m, err := Parse(body)
-	conn.Reader().Release()
-	return m, err
-}
-
-// response reads a response. The head is parsed where it stands in the reader's buffer; the body is valid until the
-// reader's Release.
-func response(r netpoll.Reader) (status int, body []byte, keep bool, err error) {
-	h, err := await(r, parseHead)
+	q.Header.Set("Accept", "application/json")
+	a, err := w.client.Do(q)
 	if err != nil {
-		return 0, nil, false, err
+		return nil, err
 	}
+	defer a.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(a.Body, bodyMost+1))
 	switch {
-	case h.chunked:
-		body, err = chunks(r)
-	case h.length >= 0:
-		body, err = r.Next(h.length)
-	default: // up to the end of the connection
-		h.closes = true
-		for len(body) <= bodyMost && err == nil {
-			var part []byte
-			if _, err = r.Peek(1); err == nil {
-				if part, err = r.Next(r.Len()); err == nil {
-					body = append(body, part...)
-				}
-			}
-		}
-		if errors.Is(err, netpoll.ErrEOF) {
-			err = nil
-		}
-	}
-	return h.status, body, !h.closes, err
-}
-
-// await reads on until parse finds its part whole, and takes that out of the buffer.
-func await[T any](r netpoll.Reader, parse func([]byte) (T, int, error)) (T, error) {
-	for n := 1; ; {
-		n = max(n, r.Len())
-		b, err := r.Peek(n)
-		if err != nil {
-			var none T
-			return none, err
-		}
-		v, size, err := parse(b)
-		if err != nil || size > 0 {
-			if err == nil {
-				err = r.Skip(size)
-			}
-			return v, err
-		}
-		n++
-	}
-}
-
-func chunks(r netpoll.Reader) (body []byte, err error) {
-	for {
-		n, err := await(r, parseChunk)
-		if err != nil {
-			return nil, err
-		}
-		part, err := r.Next(n + 2) // and the line's end
-		if err != nil {
-			return nil, err
-		}
-		if string(part[n:]) != "\r\n" || len(body)+n > bodyMost {
-			return nil, errHead
-		}
-		if n == 0 { // trailers are not used by discovery
-			return body, nil
-		}
-		body = append(body, part[:n]...)
+	case err != nil:
+		return nil, err
+	case a.StatusCode != http.StatusOK:
+		return nil, fmt.Errorf("status %d", a.StatusCode)
+	case len(body) > bodyMost:
+		return nil, errTooLong
 	}
+	return Parse(body)
 }
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -2,16 +2,21 @@
 
 import (
 	"bytes"
+	"context"
 	"flag"
-	"fmt"
 	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
-	"github.com/cloudwego/netpoll"
 	"pgregory.net/rapid"
 
+	"example.org/milletvane/internal/engine"
+
 	"example.org/milletvane/rules"
 )
 
@@ -22,78 +27,62 @@
 	os.Exit(m.Run())
 }
 
-// cuts hands a message out in the given pieces.
-type cuts struct {
-	rest []byte
-	at   []int
-}
-
-func (c *cuts) Read(p []byte) (int, error) {
-	if len(c.rest) == 0 {
-		return 0, io.EOF
-	}
-	n := min(len(p), len(c.rest))
-	if len(c.at) > 0 {
-		n, c.at = min(n, c.at[0]), c.at[1:]
-	}
-	copy(p, c.rest[:n])
-	c.rest = c.rest[n:]
-	return n, nil
-}
-
-func TestResponsesSurviveAnyCut(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		body := rapid.SliceOfN(rapid.Byte(), 0, 300).Draw(t, "body")
-		var msg bytes.Buffer
-		msg.WriteString("HTTP/1.1 200 OK\r\nX-Other: a:b\r\n")
-		if rapid.Bool().Draw(t, "chunked") {
-			msg.WriteString("transfer-encoding: chunked\r\n\r\n")
-			for rest := body; ; {
-				n := 0
-				if len(rest) > 0 {
-					n = rapid.IntRange(1, len(rest)).Draw(t, "chunk")
-				}
-				fmt.Fprintf(&msg, "%x;ext=1\r\n%s\r\n", n, rest[:n])
-				if rest = rest[n:]; n == 0 {
-					break
-				}
-			}
-		} else {
-			fmt.Fprintf(&msg, "Content-Length: %d\r\n\r\n%s", len(body), body)
-		}
-		at := rapid.SliceOfN(rapid.IntRange(1, 40), 0, 40).Draw(t, "cuts")
-		status, got, keep, err := response(netpoll.NewReader(&cuts{msg.Bytes(), at}))
-		if err != nil || status != 200 || !keep || !bytes.Equal(got, body) {
-			t.Fatalf("status %d keep %t err %v body %q, want %q", status, keep, err, got, body)
-		}
-	})
-}
-
 func TestGarbageIsAnErrorAndNeverPanics(t *testing.T) {
 	piece := rapid.OneOf(
 		rapid.SliceOfN(rapid.Byte(), 0, 30),
-		rapid.Map(rapid.SampledFrom([]string{"HTTP/1.1 200 OK", "\r\n", "\r\n\r\n", ":", "Content-Length: 5", "ffffffff",
-			"Transfer-Encoding: chunked", "Content-Length: -1", "0\r\n"}), func(s string) []byte { return []byte(s) }))
+		rapid.Map(rapid.SampledFrom([]string{`{"version":`, `"servers":[`, `{"id":"a"}`, "]}", "1", "null", ","}), func(s string) []byte { return []byte(s) }))
 	rapid.Check(t, func(t *rapid.T) {
 		msg := bytes.Join(rapid.SliceOfN(piece, 0, 12).Draw(t, "pieces"), nil)
-		if status, _, _, err := response(netpoll.NewReader(&cuts{rest: msg})); err == nil && (status < 100 || status > 999) {
-			t.Fatalf("%q read as status %d", msg, status)
-		}
 		if m, err := Parse(msg); err == nil && m == nil {
 			t.Fatal("no list and no error")
 		}
 	})
 }
 
-func TestMalformedHeads(t *testing.T) {
-	for _, msg := range []string{
-		"HTTP/1.1 20 OK\r\n\r\n", "HTTP/2 200 OK\r\n\r\n", "HTTP/1.1 2x0 OK\r\n\r\n", "HTTP/1.1 200\r\nno colon\r\n\r\n",
-		"HTTP/1.1 200\r\nContent-Length: 9999999999\r\n\r\n", "HTTP/1.1 200\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
-		"HTTP/1.1 200\r\nTransfer-Encoding: gzip\r\n\r\n",
+// An answer that is no list, too long or not in time is a failure; a list that comes in pieces is taken.
+func TestAnswers(t *testing.T) {
+	list := `{"version":7,"full":true,"servers":[{"id":"s-00000001","state":"in_service"}]}`
+	for name, c := range map[string]struct {
+		answer http.HandlerFunc
+		mode   rules.ListMode
+	}{
+		"whole":  {func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, list) }, rules.Complete},
+		"status": {func(w http.ResponseWriter, _ *http.Request) { http.Error(w, list, 503) }, rules.Failed},
+		"pieces": {func(w http.ResponseWriter, _ *http.Request) {
+			for _, b := range []byte(list) {
+				w.Write([]byte{b})
+				w.(http.Flusher).Flush()
+			}
+		}, rules.Complete},
+		"broken": {func(w http.ResponseWriter, _ *http.Request) {
+			io.WriteString(w, list[:20])
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		}, rules.Failed},
+		"elsewhere": {func(w http.ResponseWriter, r *http.Request) { http.Redirect(w, r, "/x", 302) }, rules.Failed},
+		"endless": {func(w http.ResponseWriter, _ *http.Request) {
+			for range 10 {
+				w.Write(make([]byte, 1<<20))
+			}
+		}, rules.Failed},
 	} {
-		if _, _, err := parseHead([]byte(msg)); err == nil {
-			t.Errorf("%q was taken", msg)
-		}
+		t.Run(name, func(t *testing.T) {
+			s := httptest.NewServer(c.answer)
+			defer s.Close()
+			w := New(strings.TrimPrefix(s.URL, "http://"), nil, slog.New(slog.DiscardHandler))
+			got := make(chan engine.List, 100)
+			w.Connect(func(ev engine.Event) { got <- ev.(engine.List) })
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan struct{})
+			go func() { w.Run(ctx); close(done) }()
+			w.Watch()
+			l := <-got
+			cancel()
+			<-done
+			if l.Mode != c.mode || c.mode == rules.Complete && len(l.Servers) != 1 {
+				t.Errorf("told %+v", l)
+			}
+		})
 	}
 }
 
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -5,7 +5,7 @@
 
 import (
 	"context"
-	"log"
+	"log/slog"
 	"sync/atomic"
 	"time"
 
@@ -148,7 +148,7 @@
 	Probes      bool          // servers may be asked for their load
 	Drain       time.Duration // from Stop to the end
 	QueueEvents int           // events that may wait; 0 is taken as 4096
-	Logger      *log.Logger
+	Logger      *slog.Logger
 }
 
 const (
@@ -244,6 +244,8 @@
 	stoppedAt time.Duration
 	ended     bool
 	counts    counts
+
+	toldNoList bool // since the last regular line
 }
 
 // counts are what the log's regular line tells.
@@ -256,7 +258,7 @@
 		opts.QueueEvents = queueEvents
 	}
 	if opts.Logger == nil {
-		opts.Logger = log.Default()
+		opts.Logger = slog.Default()
 	}
 	classes := make(map[string]bool, len(opts.Classes))
 	for _, c := range opts.Classes {
@@ -406,6 +408,7 @@
 		case dueStats:
 			e.deadlines.Add(e.now+statsEvery, due{kind: dueStats})
 			e.logStats()
+			e.toldNoList = false
 		case dueEnd:
 			e.end()
 		}
@@ -502,6 +505,10 @@
 		return
 	}
 	e.counts.taken++
+	if !e.ready.Load() && !e.toldNoList {
+		e.toldNoList = true
+		e.opts.Logger.Warn("no list of servers has come, requests wait or are refused")
+	}
 	if q.ID != "" {
 		r.name, e.named[q.ID] = q.ID, r.id
 	}
@@ -540,7 +547,7 @@
 	r.carried, r.deadline = true, max(r.deadline, e.now+carriedFor)
 	e.rearm(&r.answer, r.deadline+e.opts.AnswerSlack, due{kind: dueAnswer, id: r.id})
 	if !known {
-		e.opts.Logger.Printf("msg=%q server=%q", "connection from before the run at an unlisted server", at)
+		e.opts.Logger.Warn("connection from before the run at an unlisted server", "server", at)
 		e.fail(r)
 		return
 	}
@@ -617,8 +624,7 @@
 		e.counts.ended++
 		e.free(r)
 	case r.carried:
-		e.opts.Logger.Printf("msg=%q server=%d result=%d", "connection from before the run not taken up",
-			r.server, result)
+		e.opts.Logger.Warn("connection from before the run not taken up", "server", r.server, "result", result)
 		e.fail(r)
 	}
 	e.tell(out)
@@ -636,7 +642,7 @@
 	if r.link != nil && !r.link.Abandon() {
 		return // it is up; word of that is on its way
 	}
-	e.opts.Logger.Printf("msg=%q attempts=%d", "answer overdue", r.attempts)
+	e.opts.Logger.Error("answer overdue", "attempts", r.attempts)
 	e.counts.failed++
 	r.client.Fail()
 	e.drop(r)
@@ -680,7 +686,7 @@
 	case rules.Wake:
 		e.deadlines.Add(e.now+max(a.After, 0), due{kind: dueWake, ref: a.Ref})
 	case rules.Log:
-		e.opts.Logger.Printf("msg=rules text=%q", a.Text)
+		e.opts.Logger.Info("rules", "text", a.Text)
 	}
 }
 
@@ -742,7 +748,7 @@
 		switch {
 		case s != nil && s.name != n.Name:
 			// Both would be one server to the rules. The first stays: which one it is must not change.
-			e.opts.Logger.Printf("msg=%q server=%q taken_by=%q", "two servers share a number", n.Name, s.name)
+			e.opts.Logger.Error("two servers share a number", "server", n.Name, "taken_by", s.name)
 			continue
 		case n.State == rules.Gone:
 			if s != nil {
@@ -791,7 +797,7 @@
 		return true
 	})
 	for _, r := range silent {
-		e.opts.Logger.Printf("msg=%q server=%d", "moved a client off a silent server", r.server)
+		e.opts.Logger.Warn("moved a client off a silent server", "server", r.server)
 		e.move(r, rules.Reset)
 	}
 	if !e.opts.TellsDelay || e.opts.MessageAim <= 0 {
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -2,8 +2,7 @@
 
 import (
 	"fmt"
-	"io"
-	"log"
+	"log/slog"
 	"slices"
 	"strings"
 	"testing"
@@ -104,7 +103,7 @@
 	}
 	opts := Options{Sockets: 6, Classes: []string{"c"}, DefaultWait: 3 * time.Second, AnswerSlack: 16 * time.Millisecond, Pass: true,
 		TellsDelay: true, MessageAim: 60 * time.Millisecond, Drain: 3500 * time.Millisecond,
-		Logger: log.New(io.Discard, "", 0)}
+		Logger: slog.New(slog.DiscardHandler)}
 	if change != nil {
 		change(&opts)
 	}
--- a/internal/engine/stop.go
+++ b/internal/engine/stop.go
@@ -19,7 +19,7 @@
 		return
 	}
 	e.stopping, e.stoppedAt = true, e.now
-	e.opts.Logger.Printf("msg=stopping connections=%d drain=%v", e.requests.Len(), e.opts.Drain)
+	e.opts.Logger.Info("stopping", "connections", e.requests.Len(), "drain", e.opts.Drain)
 	e.deadlines.Add(e.now+e.opts.Drain, due{kind: dueEnd})
 	if e.opts.Pass {
 		return
@@ -58,6 +58,7 @@
 
 func (e *Engine) logStats() {
 	c := e.counts
-	e.opts.Logger.Printf("msg=stats connections=%d idle=%d servers=%d deadlines=%d taken=%d up=%d refused=%d failed=%d rejected=%d closed=%d moved=%d left=%d ended=%d",
-		e.requests.Len(), e.openings, len(e.servers), e.deadlines.Len(), c.taken, c.up, c.refused, c.failed, c.rejected, c.closed, c.moved, c.left, c.ended)
+	e.opts.Logger.Info("stats", "connections", e.requests.Len(), "idle", e.openings, "servers", len(e.servers), "deadlines", e.deadlines.Len(),
+		"taken", c.taken, "up", c.up, "refused", c.refused, "failed", c.failed, "rejected", c.rejected, "closed", c.closed,
+		"moved", c.moved, "left", c.left, "ended", c.ended)
 }
--- /dev/null
+++ b/internal/lab/gateway.go
@@ -0,0 +1,73 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+
+	"github.com/urfave/cli/v3"
+
+	"example.org/milletvane/config"
+	"example.org/milletvane/gateway"
+	"example.org/milletvane/internal/standin"
+)
+
+// freePort is a port of loopback that is free now.
+func freePort() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// lineSettings are the settings that experiments with lines go by.
+const lineSettings = `{"caps":{"max_attempts":5,"connect_timeout_ns":1000000000,"retry_after":true,"max_retry_after_ns":2000000000},
+ "discovery":"ask","family_info":{"mode":"proxy"},
+ "classes":[{"name":"lines","effect":"idempotent","group":"all","give_up_ns":5000000000,"slo_ns":1000000000}]}`
+
+// lineConfig is a gateway's configuration in front of a catalog.
+func lineConfig(listen, discovery string, cores int) (*config.Config, error) {
+	text := fmt.Sprintf(`{"name":"lab","listen":%q,"discovery":%q,"limits":{"cores":%d,"memory_mb":512,"sockets":8192},"settings":%s}`,
+		listen, discovery, cores, lineSettings)
+	return config.Parse([]byte(text), func(string) string { return "" })
+}
+
+// lineGateway is a gateway confined to its cores in front of one server.
+func lineGateway() *cli.Command {
+	return &cli.Command{
+		Name: "line-gateway", Hidden: true, Usage: "a gateway, which benchmarks start",
+		Flags: []cli.Flag{&cli.IntFlag{Name: "cores", Value: 1}, &cli.StringFlag{Name: "to", Required: true}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			if err := pin(cpuList(0, c.Int("cores"))...); err != nil {
+				return err
+			}
+			catalog, err := standin.NewCatalog(standin.Node{ID: "s-00000001", Addr: c.String("to"), State: standin.InService, Weight: 1})
+			if err != nil {
+				return err
+			}
+			defer catalog.Close()
+			listen, err := freePort()
+			if err != nil {
+				return err
+			}
+			conf, err := lineConfig(listen, catalog.Addr(), c.Int("cores"))
+			if err != nil {
+				return err
+			}
+			gateway.Confine(conf.Limits)
+			g, err := gateway.New(*conf, gateway.WithLogger(slog.New(slog.DiscardHandler)))
+			if err != nil {
+				return err
+			}
+			go func() {
+				if awaitReady(ctx, listen) == nil {
+					fmt.Fprintln(c.Root().Writer, listen)
+				}
+			}()
+			return g.Run(ctx)
+		},
+	}
+}
--- /dev/null
+++ b/internal/line/backend/backend.go
@@ -0,0 +1,70 @@
+// Package backend carries requests to servers: it dials, sends the opening line, reads the answer and, once
+// the connection is up, relays the server's lines to the client.
+package backend
+
+import (
+	"time"
+
+	"example.org/milletvane/internal/engine"
+	"example.org/milletvane/internal/reactor"
+	"example.org/milletvane/rules"
+)
+
+// Client is what an attempt needs of a client's connection, beyond what the engine does.
+type Client interface {
+	engine.Client
+	// Conn is the client's connection.
+	Conn() *reactor.Conn
+	// Forward appends the pieces of the opening line, with the time that the attempt is given.
+	Forward(parts [][]byte, wait time.Duration) [][]byte
+	// Open passes the server's first line on and ties the client's lines to the link from then on. It
+	// returns false where the client is gone.
+	Open(first []byte, l *Link) bool
+	// Relay passes on bytes from the server, whose connection is left unread while the client does not read.
+	Relay(from *reactor.Conn, b []byte)
+	// End ends the client's connection, as its server's ended.
+	End(reset bool)
+}
+
+// Poster takes events for the engine.
+type Poster interface {
+	Post(engine.Event)
+	Offer(engine.Event) // may be dropped
+}
+
+// Backend implements engine.Backend and engine.Prober.
+type Backend struct {
+	options Options
+	events  Poster
+	conns   *reactor.Group
+	probes  map[rules.ServerID]*probe // the engine's goroutine alone uses it
+}
+
+// Options are what a Backend goes by.
+type Options struct {
+	ConnectTimeout time.Duration // 0: as long as the attempt has
+	TellsLoad      bool
+	TellsDelay     bool
+}
+
+// New returns a Backend. Connect comes before the first Send.
+func New(o Options) *Backend {
+	return &Backend{options: o, probes: map[rules.ServerID]*probe{}}
+}
+
+// Connect sets where events go and which loops carry the connections.
+func (b *Backend) Connect(events Poster, conns *reactor.Group) { b.events, b.conns = events, conns }
+
+// Send implements engine.Backend. It does not wait.
+func (b *Backend) Send(a engine.Attempt) engine.Link {
+	l := &Link{backend: b, attempt: a, client: a.Client.(Client), started: time.Now()}
+	wait := a.Wait
+	if t := b.options.ConnectTimeout; t > 0 {
+		wait = min(wait, t)
+	}
+	// Under the lock, since the loop may be done with the dialing before conn is set.
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conn = b.conns.Dial(a.Addr, wait, l, l.client.Conn())
+	return l
+}
--- a/internal/backend/link.go
+++ b/internal/line/backend/link.go
@@ -2,16 +2,13 @@
 
 import (
 	"bytes"
-	"context"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cloudwego/netpoll"
-
 	"example.org/milletvane/internal/engine"
-	"example.org/milletvane/internal/lineproto"
-	"example.org/milletvane/internal/netconn"
+	"example.org/milletvane/internal/line/codec"
+	"example.org/milletvane/internal/reactor"
 	"example.org/milletvane/rules"
 )
 
@@ -19,8 +16,7 @@
 
 const (
 	dialing phase = iota
-	writing       // the opening line is on its way out
-	pending       // it is out, the answer is not in
+	pending       // the opening line is out, the answer is not in
 	up
 	over
 )
@@ -32,42 +28,35 @@
 	client  Client
 	started time.Time
 
-	mu     sync.Mutex // guards the phase; never held while writing or posting
-	phase  phase
-	conn   *netconn.Conn
-	closed bool // while writing
+	mu    sync.Mutex // guards the phase; never held while writing or posting
+	phase phase
+	conn  *reactor.Conn
 
 	// The oldest line of the client that the server has not returned, in nanoseconds since started plus
 	// one; 0: none.
 	asked atomic.Int64
 
 	// Of the server's lines; only its own callbacks touch these.
-	head []byte         // of the line that has come in part
-	last lineproto.Word // of the last line
+	head []byte     // of the line that has come in part
+	last codec.Word // of the last line
 }
 
 // headMost is how much of a line is kept to see what it says.
 const headMost = 64
 
-// begin takes in the connection, unless the attempt was given up meanwhile.
-func (l *Link) begin(conn *netconn.Conn) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.phase == over {
-		return false
+// OnOpen implements reactor.Handler: it sends the opening line, or says that there is no connection.
+func (l *Link) OnOpen(c *reactor.Conn, err error) {
+	if err != nil {
+		l.finish(rules.ConnectFailed)
+		return
 	}
-	l.conn, l.phase = conn, writing
-	return true
-}
-
-// wrote notes that the opening line is out; it returns true where the connection has ended already.
-func (l *Link) wrote() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.phase == writing {
-		l.phase = pending
+	if l.phase == over {
+		return
 	}
-	return l.closed && l.phase != over
+	l.phase = pending
+	c.Send(l.client.Forward(make([][]byte, 0, 3), l.attempt.Wait-time.Since(l.started))...)
 }
 
 // Abandon implements engine.Link. The connection is closed when it returns, or will carry nothing.
@@ -78,11 +67,8 @@
 		return false
 	}
 	l.phase = over
-	conn := l.conn
 	l.mu.Unlock()
-	if conn != nil {
-		conn.Close()
-	}
+	l.conn.Abort(false)
 	return true
 }
 
@@ -102,11 +88,8 @@
 		return
 	}
 	l.phase = over
-	conn := l.conn
 	l.mu.Unlock()
-	if conn != nil {
-		conn.Close()
-	}
+	l.conn.Abort(false)
 	l.backend.events.Post(engine.Ended{Request: l.attempt.Request, Number: l.attempt.Number, Result: result})
 }
 
@@ -116,45 +99,46 @@
 	was := l.phase
 	l.phase = over
 	l.mu.Unlock()
-	if was != over {
-		l.conn.End(reset)
+	switch {
+	case was == over:
+	case reset:
+		l.conn.Abort(true)
+	default:
+		l.conn.Close()
 	}
 }
 
-// Forward passes on bytes from the client. It returns false where the server does not read, so that lines
-// would be held back; the caller then calls Drop, with no lock held.
-func (l *Link) Forward(b []byte) bool {
-	if l.backend.tellsDelay && bytes.IndexByte(b, '\n') >= 0 {
+// Forward passes on bytes from the client, who is left unread while the server does not read.
+func (l *Link) Forward(b []byte) {
+	if l.backend.options.TellsDelay && bytes.IndexByte(b, '\n') >= 0 {
 		l.asked.CompareAndSwap(0, int64(time.Since(l.started))+1)
 	}
-	return !netconn.IsTimeout(l.conn.Send(b))
+	l.conn.SendFrom(l.client.Conn(), b) // one that fails has ended; OnEnd follows
 }
 
-// Drop ends an open connection whose server does not read.
-func (l *Link) Drop() { l.ended(rules.Reset, true) }
-
-// onClose runs when the server's side has ended, after all that it sent has been seen.
-func (l *Link) onClose(netpoll.Connection) error {
+// OnEnd implements reactor.Handler. All that the server sent has been seen by then.
+func (l *Link) OnEnd(c *reactor.Conn, err error) {
 	l.mu.Lock()
 	at := l.phase
-	if at == writing {
-		l.closed = true
-	}
 	l.mu.Unlock()
 	switch at {
 	case pending:
-		l.finish(rules.Reset)
+		// What breaks before the last byte is written never ran; what breaks after may have.
+		if c.Waiting() > 0 {
+			l.finish(rules.ConnectFailed)
+		} else {
+			l.finish(rules.Reset)
+		}
 	case up:
 		result := rules.Reset
 		switch l.last {
-		case lineproto.WordBye:
+		case codec.WordBye:
 			result = rules.OK
-		case lineproto.WordMove:
+		case codec.WordMove:
 			result = rules.Cancelled
 		}
-		l.ended(result, l.conn.WasReset())
+		l.ended(result, reactor.WasReset(err))
 	}
-	return nil
 }
 
 // ended is the end of an open connection from the server's side.
@@ -171,80 +155,63 @@
 	l.backend.events.Post(engine.Ended{Request: l.attempt.Request, Number: l.attempt.Number, Result: result})
 }
 
-// onRequest takes what the server sends.
-func (l *Link) onRequest(_ context.Context, c netpoll.Connection) error {
+// OnData implements reactor.Handler.
+func (l *Link) OnData(_ *reactor.Conn, b []byte) int {
 	l.mu.Lock()
 	at := l.phase
 	l.mu.Unlock()
 	switch at {
 	case up:
-		l.relay(c)
-	case over:
-		netconn.Discard(c)
-	default: // an answer may be seen before the writer has noted that its line is out
-		l.answer(c)
+		l.watch(b)
+		l.client.Relay(l.conn, b)
+	case pending:
+		return l.answer(b)
 	}
-	return nil
+	return len(b)
 }
 
-func (l *Link) answer(c netpoll.Connection) {
-	line, err := netconn.Line(c, l.started.Add(l.attempt.Wait))
-	if err != nil {
-		netconn.Discard(c)
-		if err == lineproto.ErrTooLong {
-			l.finish(rules.Errored)
-		} else if netconn.IsTimeout(err) {
-			l.finish(rules.TimedOut)
+// answer takes the server's first line once it is whole; the engine ends an attempt whose answer does not come in time.
+func (l *Link) answer(b []byte) int {
+	i := bytes.IndexByte(b[:min(len(b), codec.MaxLine)], '\n')
+	if i < 0 {
+		if len(b) < codec.MaxLine {
+			return 0
 		}
-		return // an end is told by onClose
+		l.finish(rules.Errored)
+		return len(b)
 	}
-	reply := lineproto.ParseReply(line)
+	line := b[:i+1]
+	reply := codec.ParseReply(line)
 	switch reply.Word {
-	case lineproto.WordUp, lineproto.WordBye: // BYE alone: served, and over already
+	case codec.WordUp, codec.WordBye: // BYE alone: served, and over already
 		l.last = reply.Word
-		l.open(c, line)
-	case lineproto.WordBusy:
-		netconn.Discard(c)
+		l.open(line)
+		return len(line)
+	case codec.WordBusy:
 		l.finish(rules.Full)
-	case lineproto.WordMove:
-		netconn.Discard(c)
+	case codec.WordMove:
 		l.finish(rules.Cancelled)
 	default:
-		netconn.Discard(c)
 		l.finish(rules.Errored)
 	}
+	return len(b)
 }
 
 // open ties the client to the server. From here on the engine sees no lines.
-func (l *Link) open(c netpoll.Connection, first []byte) {
+func (l *Link) open(first []byte) {
 	l.mu.Lock()
 	if l.phase == over {
 		l.mu.Unlock()
-		netconn.Discard(c)
 		return
 	}
 	l.phase = up
 	l.mu.Unlock()
 	l.backend.events.Post(engine.Up{Request: l.attempt.Request, Number: l.attempt.Number, Elapsed: time.Since(l.started)})
-	opened := l.client.Open(first, l)
-	c.Reader().Skip(len(first))
-	c.Reader().Release()
-	if !opened {
+	if !l.client.Open(first, l) {
 		l.End(false)
 	}
 }
 
-func (l *Link) relay(c netpoll.Connection) {
-	r := c.Reader()
-	b, err := r.Next(r.Len())
-	if err != nil {
-		return
-	}
-	l.watch(b)
-	l.client.Relay(b)
-	r.Release()
-}
-
 // watch sees what the server's lines say as they pass.
 func (l *Link) watch(b []byte) {
 	for len(b) > 0 {
@@ -261,15 +228,15 @@
 		if i < 0 {
 			return
 		}
-		reply := lineproto.ParseReply(l.head)
+		reply := codec.ParseReply(l.head)
 		l.head = l.head[:0]
 		l.last = reply.Word
 		switch reply.Word {
-		case lineproto.WordLoad:
-			if l.backend.tellsLoad {
+		case codec.WordLoad:
+			if l.backend.options.TellsLoad {
 				l.backend.events.Offer(engine.Load{Request: l.attempt.Request, Load: reply.Load})
 			}
-		case lineproto.WordOther:
+		case codec.WordOther:
 			if at := l.asked.Swap(0); at > 0 {
 				delay := time.Since(l.started) - time.Duration(at)
 				l.backend.events.Offer(engine.Answered{Request: l.attempt.Request, Delay: delay})
--- a/internal/backend/probe.go
+++ b/internal/line/backend/probe.go
@@ -1,14 +1,13 @@
 package backend
 
 import (
+	"bufio"
 	"errors"
+	"net"
 	"time"
 
-	"github.com/cloudwego/netpoll"
-
 	"example.org/milletvane/internal/engine"
-	"example.org/milletvane/internal/lineproto"
-	"example.org/milletvane/internal/netconn"
+	"example.org/milletvane/internal/line/codec"
 	"example.org/milletvane/rules"
 )
 
@@ -53,20 +52,18 @@
 
 // run asks whenever told to, on one connection that is opened anew after a fault.
 func (p *probe) run(b *Backend) {
-	var conn *netconn.Conn
+	var conn net.Conn
+	var r *bufio.Reader
 	for range p.asks {
-		if conn == nil || !conn.IsActive() {
-			if conn != nil {
-				conn.Close()
+		if conn == nil {
+			var err error
+			if conn, err = net.DialTimeout("tcp", p.addr, probeFor); err != nil {
 				conn = nil
-			}
-			nc, err := netpoll.DialConnection("tcp", p.addr, probeFor)
-			if err != nil {
 				continue
 			}
-			conn = netconn.New(nc)
+			r = bufio.NewReaderSize(conn, codec.MaxLine)
 		}
-		report, err := ask(conn)
+		report, err := ask(conn, r)
 		if err != nil {
 			conn.Close()
 			conn = nil
@@ -79,19 +76,20 @@
 	}
 }
 
-func ask(conn *netconn.Conn) (r engine.Report, err error) {
-	if err := conn.Send([]byte(lineproto.Stats)); err != nil {
+func ask(conn net.Conn, in *bufio.Reader) (r engine.Report, err error) {
+	conn.SetDeadline(time.Now().Add(probeFor))
+	if _, err := conn.Write([]byte(codec.Stats)); err != nil {
 		return r, err
 	}
-	line, err := netconn.Line(conn, time.Now().Add(probeFor))
+	line, err := in.ReadSlice('\n')
 	if err != nil {
 		return r, err
 	}
-	report, ok := lineproto.ParsePong(line)
+	report, ok := codec.ParsePong(line)
 	if !ok {
 		return r, errProbe
 	}
-	lineproto.Report(report, func(name string, v float64) {
+	codec.Report(report, func(name string, v float64) {
 		switch name {
 		case "x0":
 			r.Load, r.HasLoad = v, true
@@ -99,6 +97,5 @@
 			r.Piled, r.HasPiled = time.Duration(v*float64(time.Second)), true
 		}
 	})
-	conn.Reader().Skip(len(line))
-	return r, conn.Reader().Release()
+	return r, nil
 }
--- a/internal/lineproto/lineproto.go
+++ b/internal/line/codec/codec.go
@@ -1,6 +1,6 @@
-// Package lineproto reads and writes the lines that clients, balancers and servers exchange. It does no
+// Package codec reads and writes the lines that clients, balancers and servers exchange. It does no
 // I/O: parsers work on the bytes that they are given and keep slices of them.
-package lineproto
+package codec
 
 import (
 	"bytes"
--- a/internal/lineproto/lineproto_test.go
+++ b/internal/line/codec/codec_test.go
@@ -1,4 +1,4 @@
-package lineproto
+package codec
 
 import (
 	"bytes"
--- a/internal/front/conn.go
+++ b/internal/line/front/conn.go
@@ -1,16 +1,14 @@
 package front
 
 import (
-	"errors"
+	"bytes"
 	"sync"
 	"time"
 
-	"github.com/cloudwego/netpoll"
-
-	"example.org/milletvane/internal/backend"
 	"example.org/milletvane/internal/engine"
-	"example.org/milletvane/internal/lineproto"
-	"example.org/milletvane/internal/netconn"
+	"example.org/milletvane/internal/line/backend"
+	"example.org/milletvane/internal/line/codec"
+	"example.org/milletvane/internal/reactor"
 )
 
 type phase uint8
@@ -25,9 +23,9 @@
 // Conn is a client's connection.
 type Conn struct {
 	front  *Front
-	conn   *netconn.Conn
+	conn   *reactor.Conn
 	ticket engine.Ticket
-	open   lineproto.Open
+	open   codec.Open
 
 	mu    sync.Mutex // guards the phase
 	phase phase
@@ -40,83 +38,71 @@
 
 var _ backend.Client = (*Conn)(nil)
 
-func (f *Front) accept(nc netpoll.Connection) *Conn {
-	c := &Conn{front: f, conn: netconn.New(nc)}
-	nc.AddCloseCallback(c.onClose)
-	f.engine.Post(engine.Accepted{Client: c})
-	return c
+// OnOpen implements reactor.Handler.
+func (c *Conn) OnOpen(rc *reactor.Conn, _ error) {
+	c.conn = rc
+	c.front.engine.Post(engine.Accepted{Client: c})
 }
 
 // Slot implements engine.Client.
 func (c *Conn) Slot() *engine.Ticket { return &c.ticket }
 
-func (c *Conn) at() phase {
+// OnData implements reactor.Handler.
+func (c *Conn) OnData(_ *reactor.Conn, b []byte) int {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.phase
-}
-
-// onRequest takes what the client sends.
-func (c *Conn) onRequest() {
-	switch c.at() {
+	at, link := c.phase, c.link
+	c.mu.Unlock()
+	switch at {
 	case opening:
-		c.readOpening()
-	case over:
-		netconn.Discard(c.conn)
-	default:
-		c.relay()
+		return c.readOpening(b)
+	case waiting:
+		// One that sends more before UP has not waited, as clients do: no server is to read it, so its request is
+		// given up.
+		c.reject()
+	case relaying:
+		link.Forward(b)
 	}
+	return len(b)
 }
 
-func (c *Conn) readOpening() {
-	// The engine ends a connection that does not send its line in time.
-	line, err := netconn.Line(c.conn, time.Time{})
-	if err != nil {
-		netconn.Discard(c.conn)
-		if errors.Is(err, lineproto.ErrTooLong) {
-			c.reject()
-		}
-		return // an end is told by onClose
+// readOpening takes a line once it is whole. The engine ends a connection that does not send its line in time.
+func (c *Conn) readOpening(b []byte) int {
+	i := bytes.IndexByte(b[:min(len(b), codec.MaxLine)], '\n')
+	if i < 0 && len(b) < codec.MaxLine {
+		return 0
 	}
-	if c.conn.Reader().Len() > len(line) {
+	if i < 0 || len(b) > i+1 {
 		// Clients wait after each line. What comes behind it is no part of a connection that any server has
 		// taken, and hundreds of commands at once would have as many answers to write.
 		c.reject()
-		return
+		return len(b)
 	}
-	switch lineproto.KindOf(line) {
-	case lineproto.KindPing:
-		answer := lineproto.Err
+	switch codec.KindOf(b) {
+	case codec.KindPing:
+		answer := codec.Err
 		if c.front.engine.Ready() {
-			answer = lineproto.Pong
+			answer = codec.Pong
 		}
-		c.skip(len(line))
 		c.conn.Send([]byte(answer))
 		c.front.engine.Post(engine.Alive{Client: c})
-	case lineproto.KindStats: // a balancer has no load report
-		c.skip(len(line))
-		c.conn.Send([]byte(lineproto.No))
-	case lineproto.KindOpen:
-		c.readOpen(line)
+	case codec.KindStats: // a balancer has no load report
+		c.conn.Send([]byte(codec.No))
+	case codec.KindOpen:
+		c.readOpen(b)
 	default:
 		c.reject()
 	}
-}
-
-func (c *Conn) skip(n int) {
-	c.conn.Reader().Skip(n)
-	c.conn.Reader().Release()
+	return len(b)
 }
 
 func (c *Conn) readOpen(line []byte) {
 	// Read in place first, so that a malformed line costs no copy; what is kept for the attempts is then
-	// read again from the copy, since the buffer is netpoll's.
-	if _, err := lineproto.ParseOpen(line); err != nil {
+	// read again from the copy, since the buffer is the loop's.
+	if _, err := codec.ParseOpen(line); err != nil {
 		c.reject()
 		return
 	}
-	open, _ := lineproto.ParseOpen(append([]byte(nil), line...))
-	c.skip(len(line))
+	open, _ := codec.ParseOpen(append([]byte(nil), line...))
 	c.mu.Lock()
 	if c.phase != opening {
 		c.mu.Unlock()
@@ -132,35 +118,13 @@
 
 // reject answers what is none of the protocol's.
 func (c *Conn) reject() {
-	netconn.Discard(c.conn)
 	if c.finish() {
-		c.conn.Send([]byte(lineproto.Err))
+		c.conn.Send([]byte(codec.Err))
 		c.conn.Close()
 		c.front.engine.Post(engine.Rejected{Client: c})
 	}
 }
 
-// relay passes the client's lines on. One that sends more before UP has not waited, as clients do: no server is
-// to read it, so its request is given up.
-func (c *Conn) relay() {
-	c.mu.Lock()
-	at, link := c.phase, c.link
-	c.mu.Unlock()
-	if at == waiting {
-		c.reject()
-		return
-	}
-	r := c.conn.Reader()
-	b, err := r.Next(r.Len())
-	if err != nil {
-		return
-	}
-	defer r.Release()
-	if link != nil && !link.Forward(b) {
-		link.Drop()
-	}
-}
-
 // finish marks the client's side as ended; it returns false where it was already.
 func (c *Conn) finish() bool {
 	c.mu.Lock()
@@ -170,16 +134,15 @@
 	return was != over
 }
 
-// onClose runs when the client's side has ended, after all that it sent has been passed on.
-func (c *Conn) onClose(netpoll.Connection) error {
+// OnEnd implements reactor.Handler. All that the client sent has been passed on by then.
+func (c *Conn) OnEnd(_ *reactor.Conn, err error) {
 	if !c.finish() {
-		return nil
+		return
 	}
 	if c.link != nil {
-		c.link.End(c.conn.WasReset())
+		c.link.End(reactor.WasReset(err))
 	}
 	c.front.engine.Post(engine.Left{Client: c})
-	return nil
 }
 
 func (c *Conn) final(line []byte) {
@@ -191,10 +154,10 @@
 }
 
 // Refuse implements engine.Client.
-func (c *Conn) Refuse(after time.Duration) { c.final(lineproto.Busy(after)) }
+func (c *Conn) Refuse(after time.Duration) { c.final(codec.Busy(after)) }
 
 // Fail implements engine.Client.
-func (c *Conn) Fail() { c.final([]byte(lineproto.Err)) }
+func (c *Conn) Fail() { c.final([]byte(codec.Err)) }
 
 // Close implements engine.Client.
 func (c *Conn) Close() {
@@ -206,8 +169,8 @@
 	}
 }
 
-// Move implements engine.Client. The client may be slow to read, so it is told from a goroutine of its own.
-func (c *Conn) Move() { go c.move() }
+// Move implements engine.Client. Its loop tells the client, as word of it to the engine may have to wait.
+func (c *Conn) Move() { c.conn.Do(c.move) }
 
 func (c *Conn) move() {
 	c.out.Lock()
@@ -224,7 +187,7 @@
 	if !c.finish() {
 		return
 	}
-	c.conn.Send(rest, []byte(lineproto.Move))
+	c.conn.Send(rest, []byte(codec.Move))
 	c.conn.Close()
 	if c.link != nil {
 		c.link.End(false)
@@ -248,12 +211,12 @@
 	}
 	c.phase, c.link = relaying, l
 	c.mu.Unlock()
-	c.conn.Send(first) // one that fails has ended; onClose follows
+	c.conn.Send(first) // one that fails has ended; OnEnd follows
 	return true
 }
 
 // Relay implements backend.Client.
-func (c *Conn) Relay(b []byte) {
+func (c *Conn) Relay(from *reactor.Conn, b []byte) {
 	c.out.Lock()
 	defer c.out.Unlock()
 	if c.moving {
@@ -265,26 +228,20 @@
 		}
 	}
 	c.midline = b[len(b)-1] != '\n'
-	if err := c.conn.Send(b); netconn.IsTimeout(err) {
-		// A client that does not read would hold its server's lines back without bound.
-		c.drop()
-	}
+	c.conn.SendFrom(from, b) // one that fails has ended; OnEnd follows
 }
 
-func (c *Conn) drop() {
+// End implements backend.Client.
+func (c *Conn) End(reset bool) {
 	if !c.finish() {
 		return
 	}
-	c.conn.End(true)
-	if c.link != nil {
-		c.link.End(true)
+	if reset {
+		c.conn.Abort(true)
+	} else {
+		c.conn.Close()
 	}
-	c.front.engine.Post(engine.Left{Client: c})
 }
 
-// End implements backend.Client.
-func (c *Conn) End(reset bool) {
-	if c.finish() {
-		c.conn.End(reset)
-	}
-}
+// Conn implements backend.Client.
+func (c *Conn) Conn() *reactor.Conn { return c.conn }
--- /dev/null
+++ b/internal/line/front/front.go
@@ -0,0 +1,34 @@
+// Package front is the platform's line protocol towards clients: it accepts them, reads their opening lines
+// and relays their lines once a server has taken them.
+package front
+
+import (
+	"example.org/milletvane/internal/engine"
+	"example.org/milletvane/internal/reactor"
+)
+
+// Engine is what the front needs of the engine.
+type Engine interface {
+	Post(engine.Event)
+	Ready() bool
+}
+
+// Front accepts clients on one address.
+type Front struct {
+	engine   Engine
+	listener *reactor.Listener
+}
+
+// Listen opens the address and takes connections from then on.
+func Listen(addr string, e Engine, g *reactor.Group) (*Front, error) {
+	f := &Front{engine: e}
+	var err error
+	f.listener, err = g.Listen(addr, func() reactor.Handler { return &Conn{front: f} })
+	return f, err
+}
+
+// Addr is the address that is listened on.
+func (f *Front) Addr() string { return f.listener.Addr().String() }
+
+// Close stops accepting.
+func (f *Front) Close() { f.listener.Close() }
--- /dev/null
+++ b/internal/reactor/conn.go
@@ -0,0 +1,557 @@
+package reactor
+
+import (
+	"net/netip"
+	"sync"
+	"syscall"
+	"time"
+	"unsafe"
+
+	"golang.org/x/sys/unix"
+)
+
+// StallAfter is how long a peer may take nothing while bytes wait for it.
+const StallAfter = 900 * time.Millisecond
+
+// Bounds of what waits for one peer. Over the first its sources are left unread, under the second they are read again;
+// what has been read by then and what a handler adds by itself goes on top.
+const (
+	highWater = 64 << 10
+	lowWater  = 16 << 10
+)
+
+// partsMost is how many parts are gathered into one write.
+const partsMost = 16
+
+// Conn is a connection. Its methods may be called by any goroutine.
+type Conn struct {
+	loop    *loop
+	fd      int
+	handler Handler
+
+	mu       sync.Mutex // guards what follows, and that fd is this connection's
+	slot     int32
+	gen      int32
+	listed   bool // in the loop's slots
+	dialing  bool
+	closed   bool
+	closing  bool   // once all is written
+	want     uint32 // what is watched for
+	paused   bool
+	out      []byte // waits for the peer
+	taken    int    // of out
+	stall    *time.Timer
+	queued   int     // in the kernel, at the last look for a stall
+	sources  []*Conn // unread until out is short again
+	deadline *time.Timer
+
+	in []byte // not taken yet; the loop alone uses it
+}
+
+// begin takes an accepted connection into its loop.
+func (c *Conn) begin() {
+	c.mu.Lock()
+	err := c.enlist()
+	c.mu.Unlock()
+	if err != nil {
+		unix.Close(c.fd)
+		return
+	}
+	c.handler.OnOpen(c, nil)
+}
+
+func (c *Conn) enlist() (err error) {
+	if c.closed {
+		return ErrClosed
+	}
+	if c.slot, c.gen, err = c.loop.add(c.fd, c, c.want); err != nil {
+		c.closed = true
+		return err
+	}
+	c.listed = true
+	return nil
+}
+
+// Dial starts a connection to an IP address and port and returns at once; the handler is told how it went within the
+// time given. The connection shares the loop of beside, if that is not nil.
+func (g *Group) Dial(addr string, within time.Duration, h Handler, beside *Conn) *Conn {
+	l := g.pick()
+	if beside != nil {
+		l = beside.loop
+	}
+	c := &Conn{loop: l, fd: -1, handler: h, dialing: true, want: unix.EPOLLOUT}
+	l.post(func() { c.connect(addr, within) })
+	return c
+}
+
+func (c *Conn) connect(addr string, within time.Duration) {
+	err := func() error {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.closed {
+			return nil
+		}
+		to, err := netip.ParseAddrPort(addr)
+		if err != nil {
+			c.closed = true
+			return err
+		}
+		family := unix.AF_INET6
+		var sa unix.Sockaddr = &unix.SockaddrInet6{Port: int(to.Port()), Addr: to.Addr().As16()}
+		if to.Addr().Is4() {
+			family, sa = unix.AF_INET, &unix.SockaddrInet4{Port: int(to.Port()), Addr: to.Addr().As4()}
+		}
+		fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+		if err != nil {
+			c.closed = true
+			return err
+		}
+		c.fd = fd
+		unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+		if err = unix.Connect(fd, sa); err != nil && err != unix.EINPROGRESS {
+			unix.Close(fd)
+			c.closed = true
+			return err
+		}
+		if err = c.enlist(); err != nil {
+			unix.Close(fd)
+			return err
+		}
+		c.deadline = time.AfterFunc(within, func() { c.loop.post(func() { c.connected(ErrTimeout) }) })
+		return nil
+	}()
+	if err != nil {
+		c.handler.OnOpen(c, err)
+	}
+}
+
+// connected ends the dialing.
+func (c *Conn) connected(err error) {
+	c.mu.Lock()
+	if c.closed || !c.dialing {
+		c.mu.Unlock()
+		return
+	}
+	c.dialing = false
+	c.deadline.Stop()
+	if err == nil {
+		if code, e := unix.GetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_ERROR); e != nil {
+			err = e
+		} else if code != 0 {
+			err = syscall.Errno(code)
+		}
+	}
+	if err != nil {
+		c.close(false)
+	} else {
+		c.watch(unix.EPOLLIN | unix.EPOLLRDHUP)
+	}
+	c.mu.Unlock()
+	c.handler.OnOpen(c, err)
+}
+
+// watch changes what is watched for.
+func (c *Conn) watch(events uint32) {
+	if c.paused {
+		events &^= unix.EPOLLIN | unix.EPOLLRDHUP
+	}
+	if c.listed && events != c.want {
+		c.want = events
+		unix.EpollCtl(c.loop.epoll, unix.EPOLL_CTL_MOD, c.fd, &unix.EpollEvent{Events: events, Fd: c.slot, Pad: c.gen})
+	}
+}
+
+func (c *Conn) rewatch() {
+	events := uint32(unix.EPOLLIN | unix.EPOLLRDHUP)
+	if len(c.out) > c.taken {
+		events |= unix.EPOLLOUT
+	}
+	if c.closing {
+		events &^= unix.EPOLLIN | unix.EPOLLRDHUP
+	}
+	c.watch(events)
+}
+
+// ready is called by the loop.
+func (c *Conn) ready(events uint32) {
+	c.mu.Lock()
+	dialing, closing, paused := c.dialing, c.closing, c.paused
+	c.mu.Unlock()
+	if dialing {
+		c.connected(nil)
+		return
+	}
+	if events&unix.EPOLLOUT != 0 {
+		c.flush()
+	}
+	switch {
+	case closing:
+		if events&(unix.EPOLLERR|unix.EPOLLHUP) != 0 {
+			c.Abort(false)
+		}
+	case !paused:
+		if events&(unix.EPOLLIN|unix.EPOLLRDHUP|unix.EPOLLERR|unix.EPOLLHUP) != 0 {
+			c.read()
+		}
+	case events&(unix.EPOLLERR|unix.EPOLLHUP) != 0:
+		// Left unread, but gone: there is no peer to keep it for.
+		c.end(unix.ECONNRESET)
+	}
+}
+
+// read takes what has come and shows it to the handler.
+func (c *Conn) read() {
+	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		return
+	}
+	buf := c.loop.buf
+	kept := copy(buf, c.in)
+	if kept == len(c.in) && kept < len(buf) {
+		// The common case: all fits the loop's own buffer, and an idle connection holds none.
+		n, err := rawRead(c.fd, buf[kept:])
+		c.mu.Unlock()
+		if n > 0 {
+			c.show(buf[:kept+n])
+		}
+		c.readEnd(n, err)
+		return
+	}
+	if cap(c.in)-len(c.in) < readSize/2 {
+		c.in = append(make([]byte, 0, 2*cap(c.in)+readSize), c.in...)
+	}
+	n, err := rawRead(c.fd, c.in[len(c.in):cap(c.in)])
+	c.mu.Unlock()
+	if n > 0 {
+		c.in = c.in[:len(c.in)+n]
+		c.show(c.in)
+	}
+	c.readEnd(n, err)
+}
+
+func (c *Conn) readEnd(n int, err error) {
+	switch {
+	case n > 0 || err == unix.EAGAIN || err == unix.EINTR:
+	case err != nil:
+		c.end(err)
+	default:
+		c.end(nil)
+	}
+}
+
+// show hands bytes to the handler, and keeps those that it does not take. b may be c.in.
+func (c *Conn) show(b []byte) {
+	taken := 0
+	for taken < len(b) {
+		n := c.handler.OnData(c, b[taken:])
+		taken += n
+		c.mu.Lock()
+		stop := c.paused || c.closed || c.closing
+		c.mu.Unlock()
+		if n == 0 || stop {
+			break
+		}
+	}
+	if taken == len(b) {
+		c.in = nil
+		return
+	}
+	c.in = append(c.in[:0], b[taken:]...) // within one array the copy goes downwards
+}
+
+// end is the peer's end of the connection.
+func (c *Conn) end(err error) {
+	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		return
+	}
+	if c.closing { // nobody waits for word of it
+		c.close(false)
+		c.mu.Unlock()
+		return
+	}
+	c.mu.Unlock()
+	c.handler.OnEnd(c, err)
+	c.Abort(err == ErrStalled)
+}
+
+// WasReset tells a broken connection from one that its peer ended in order.
+func WasReset(err error) bool { return err != nil }
+
+func rawRead(fd int, b []byte) (int, error) {
+	n, _, e := syscall.RawSyscall(unix.SYS_READ, uintptr(fd), uintptr(unsafe.Pointer(&b[0])), uintptr(len(b)))
+	if e != 0 {
+		return 0, e
+	}
+	return int(n), nil
+}
+
+// Send writes the parts in order, behind what waits already. What the kernel does not take at once is kept; the parts may
+// be reused. An error says that the connection is closed.
+func (c *Conn) Send(parts ...[]byte) error { return c.SendFrom(nil, parts...) }
+
+// SendFrom is Send for bytes that came from another connection, which is left unread while too much waits here.
+func (c *Conn) SendFrom(source *Conn, parts ...[]byte) error {
+	c.mu.Lock()
+	if c.closed || c.closing {
+		c.mu.Unlock()
+		return ErrClosed
+	}
+	if len(c.out) == c.taken && !c.dialing {
+		parts = c.write(parts)
+	}
+	empty := len(c.out) == c.taken
+	for _, p := range parts {
+		c.out = append(c.out, p...)
+	}
+	if len(c.out) > c.taken && empty && !c.dialing {
+		c.rewatch()
+		c.armStall()
+	}
+	var pause *Conn
+	if source != nil && len(c.out)-c.taken > highWater {
+		pause = source
+		c.sources = append(c.sources, source)
+	}
+	c.mu.Unlock()
+	if pause != nil {
+		pause.Pause()
+	}
+	return nil
+}
+
+// write writes what the kernel takes and returns the rest. A broken connection is found by reading.
+func (c *Conn) write(parts [][]byte) [][]byte {
+	for len(parts) > 0 {
+		var vec [partsMost]unix.Iovec
+		n, size := 0, 0
+		for _, p := range parts[:min(len(parts), partsMost)] {
+			if len(p) > 0 {
+				vec[n].Base = &p[0]
+				vec[n].SetLen(len(p))
+				n++
+				size += len(p)
+			}
+		}
+		if n == 0 {
+			parts = parts[min(len(parts), partsMost):]
+			continue
+		}
+		var done uintptr
+		var e syscall.Errno
+		if n == 1 {
+			done, _, e = syscall.RawSyscall6(unix.SYS_SENDTO, uintptr(c.fd), uintptr(unsafe.Pointer(vec[0].Base)), uintptr(size), unix.MSG_NOSIGNAL, 0, 0)
+		} else {
+			done, _, e = syscall.RawSyscall(unix.SYS_WRITEV, uintptr(c.fd), uintptr(unsafe.Pointer(&vec[0])), uintptr(n))
+		}
+		if e == unix.EINTR {
+			continue
+		}
+		if e != 0 {
+			return parts
+		}
+		rest := int(done)
+		for len(parts) > 0 && rest >= len(parts[0]) {
+			rest -= len(parts[0])
+			parts = parts[1:]
+		}
+		if rest > 0 {
+			first := append([][]byte{parts[0][rest:]}, parts[1:]...)
+			return first
+		}
+		if int(done) < size {
+			return parts
+		}
+	}
+	return nil
+}
+
+// flush writes what waits.
+func (c *Conn) flush() {
+	c.mu.Lock()
+	if c.closed || c.dialing || len(c.out) == c.taken {
+		c.mu.Unlock()
+		return
+	}
+	left := 0
+	for _, p := range c.write([][]byte{c.out[c.taken:]}) {
+		left += len(p)
+	}
+	if done := len(c.out) - left; done > c.taken {
+		c.taken = done
+		c.armStall()
+	}
+	switch {
+	case c.taken == len(c.out):
+		c.out, c.taken = nil, 0
+		c.stall.Stop()
+		if c.closing {
+			c.close(false)
+		} else {
+			c.rewatch()
+		}
+	case c.taken > len(c.out)/2:
+		c.out = append(c.out[:0], c.out[c.taken:]...)
+		c.taken = 0
+	}
+	var resume []*Conn
+	if len(c.out)-c.taken <= lowWater {
+		resume, c.sources = c.sources, nil
+	}
+	c.mu.Unlock()
+	for _, s := range resume {
+		s.Resume()
+	}
+}
+
+func (c *Conn) armStall() {
+	if c.stall == nil {
+		c.stall = time.AfterFunc(StallAfter, func() { c.loop.post(c.stalled) })
+		return
+	}
+	c.stall.Reset(StallAfter)
+}
+
+// stalled ends a connection whose peer does not read: its bytes would be held back without bound.
+func (c *Conn) stalled() {
+	c.mu.Lock()
+	waits := !c.closed && len(c.out) > c.taken
+	if waits {
+		// The kernel holds bytes too, and says that there is room for more only after many have gone.
+		if queued, err := unix.IoctlGetInt(c.fd, unix.SIOCOUTQ); err == nil && queued != c.queued {
+			c.queued, waits = queued, false
+			c.armStall()
+		}
+	}
+	c.mu.Unlock()
+	if waits {
+		c.end(ErrStalled)
+	}
+}
+
+// Waiting is how many bytes wait for the peer to read.
+func (c *Conn) Waiting() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.out) - c.taken
+}
+
+// Pause leaves the connection unread from the end of the handler's call on.
+func (c *Conn) Pause() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.closed && !c.paused {
+		c.paused = true
+		if !c.dialing {
+			c.rewatch()
+		}
+	}
+}
+
+// Resume has it read again, what was not taken first.
+func (c *Conn) Resume() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || !c.paused {
+		return
+	}
+	c.paused = false
+	c.loop.post(func() {
+		if b := c.in; len(b) > 0 {
+			c.mu.Lock()
+			stop := c.paused || c.closed
+			c.mu.Unlock()
+			if stop {
+				return
+			}
+			c.show(b)
+		}
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if !c.closed && !c.dialing {
+			c.rewatch()
+		}
+	})
+}
+
+// Close ends the connection in order once all that was sent has been written.
+func (c *Conn) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || c.closing {
+		return
+	}
+	if len(c.out) > c.taken && !c.dialing {
+		c.closing = true
+		c.rewatch()
+		return
+	}
+	c.close(false)
+}
+
+// Abort ends the connection now; with reset its peer sees it break. When it returns nothing more goes out.
+func (c *Conn) Abort(reset bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.close(reset)
+}
+
+func (c *Conn) close(reset bool) {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	if c.stall != nil {
+		c.stall.Stop()
+	}
+	if c.deadline != nil {
+		c.deadline.Stop()
+	}
+	if c.listed {
+		c.loop.remove(c.slot)
+	}
+	if c.fd >= 0 {
+		if reset {
+			unix.SetsockoptLinger(c.fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+		}
+		unix.Close(c.fd)
+	}
+	c.out, c.taken = nil, 0
+	for _, s := range c.sources {
+		// It must find its peer gone, not wait for it.
+		c.loop.post(s.Resume)
+	}
+	c.sources = nil
+}
+
+// Do has the connection's loop call f soon, unless the group is closed. It is for what may wait where the caller may not.
+func (c *Conn) Do(f func()) { c.loop.post(f) }
+
+// Closed reports whether this side or the peer has ended the connection.
+func (c *Conn) Closed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed || c.closing
+}
+
+// Peer is the address at the other end.
+func (c *Conn) Peer() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return ""
+	}
+	sa, err := unix.Getpeername(c.fd)
+	if err != nil {
+		return ""
+	}
+	switch sa := sa.(type) {
+	case *unix.SockaddrInet4:
+		return netip.AddrPortFrom(netip.AddrFrom4(sa.Addr), uint16(sa.Port)).String()
+	case *unix.SockaddrInet6:
+		return netip.AddrPortFrom(netip.AddrFrom16(sa.Addr).Unmap(), uint16(sa.Port)).String()
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/reactor/reactor.go
@@ -0,0 +1,355 @@
+// Package reactor moves bytes on TCP connections: a few loops wait for all of them, hand what came to handlers where it
+// stands, and write without a copy what the kernel takes at once. It knows no protocol.
+//
+// It stands where netpoll stood. netpoll's poller waits in a system call that holds the only processor of a program
+// confined to one core until the runtime's monitor takes it back, up to 10 ms later; and it reads on while nobody takes
+// what it read, so that a peer's flood has no bound. A loop here waits in the runtime's own poller instead: an epoll
+// descriptor is readable when one of its own is ready. And a connection can be left unread.
+package reactor
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+	"unsafe"
+
+	"golang.org/x/sys/unix"
+)
+
+// Handler takes what happens on a connection. Its methods are called by the connection's loop, one at a time, and may
+// not wait.
+type Handler interface {
+	// OnOpen says that a dialed connection stands, or with an error that it never will. For an accepted one it is
+	// called first, with nil.
+	OnOpen(c *Conn, err error)
+	// OnData shows the bytes that have come and were not taken yet, and returns how many it takes. The rest is shown
+	// again, with more behind it. The bytes are valid during the call alone.
+	OnData(c *Conn, b []byte) int
+	// OnEnd says that the peer ended the connection, or that it is broken or stalled (ErrStalled). It is not called
+	// after an end of this side's making.
+	OnEnd(c *Conn, err error)
+}
+
+// Errors that OnEnd and OnOpen bring besides the system's own.
+var (
+	ErrStalled = errors.New("reactor: peer does not read")
+	ErrTimeout = errors.New("reactor: no connection in time")
+	ErrClosed  = errors.New("reactor: connection is closed")
+	errEnded   = errors.New("reactor: group is closed")
+)
+
+const (
+	eventsAtOnce = 256
+	readSize     = 64 << 10
+	acceptsMost  = 64 // at one event, so that a flood of connections does not hold up the rest
+	acceptPause  = 10 * time.Millisecond
+)
+
+// Group is a set of loops that share the connections.
+type Group struct {
+	loops []*loop
+	next  atomic.Uint32
+	wg    sync.WaitGroup
+}
+
+type loop struct {
+	group *Group
+	epoll int
+	file  *os.File
+	buf   []byte
+
+	mu    sync.Mutex
+	slots []entry
+	free  []int32
+	ended bool
+	calls []func() // to be run by the loop
+	wake  int      // an eventfd
+	woken bool
+}
+
+// entry is a numbered slot of an epoll set. Its generation tells a late event for a descriptor that is closed.
+type entry struct {
+	source source
+	gen    int32
+}
+
+type source interface{ ready(events uint32) }
+
+// New starts n loops.
+func New(n int) (*Group, error) {
+	g := &Group{}
+	for range max(n, 1) {
+		l, err := newLoop(g)
+		if err != nil {
+			g.Close()
+			return nil, err
+		}
+		g.loops = append(g.loops, l)
+		g.wg.Go(l.run)
+	}
+	return g, nil
+}
+
+func newLoop(g *Group) (*loop, error) {
+	ep, err := unix.EpollCreate1(unix.EPOLL_CLOEXEC)
+	if err != nil {
+		return nil, fmt.Errorf("epoll: %w", err)
+	}
+	wake, err := unix.Eventfd(0, unix.EFD_CLOEXEC|unix.EFD_NONBLOCK)
+	if err != nil {
+		unix.Close(ep)
+		return nil, fmt.Errorf("eventfd: %w", err)
+	}
+	l := &loop{group: g, epoll: ep, wake: wake, buf: make([]byte, readSize)}
+	if _, _, err := l.add(wake, l, unix.EPOLLIN); err != nil {
+		unix.Close(ep)
+		unix.Close(wake)
+		return nil, err
+	}
+	unix.SetNonblock(ep, true) // or the runtime would not poll it
+	l.file = os.NewFile(uintptr(ep), "epoll")
+	return l, nil
+}
+
+// Close ends the loops and every connection, without a word to handlers.
+func (g *Group) Close() {
+	for _, l := range g.loops {
+		l.mu.Lock()
+		l.ended = true
+		var conns []source
+		for _, e := range l.slots {
+			if e.source != nil && e.source != source(l) {
+				conns = append(conns, e.source)
+			}
+		}
+		l.mu.Unlock()
+		for _, s := range conns {
+			switch s := s.(type) {
+			case *Conn:
+				s.Abort(false)
+			case *Listener:
+				s.Close()
+			}
+		}
+		l.file.Close()
+	}
+	g.wg.Wait()
+	for _, l := range g.loops {
+		unix.Close(l.wake)
+	}
+}
+
+func (g *Group) pick() *loop { return g.loops[int(g.next.Add(1))%len(g.loops)] }
+
+// run waits for events and handles them until the group is closed.
+func (l *loop) run() {
+	raw, err := l.file.SyscallConn()
+	if err != nil {
+		return
+	}
+	events := make([]unix.EpollEvent, eventsAtOnce)
+	raw.Read(func(fd uintptr) bool {
+		for {
+			n := epollNow(int(fd), events)
+			if n <= 0 {
+				return false // wait in the runtime's poller; a closed file ends that
+			}
+			for i := range events[:n] {
+				l.dispatch(&events[i])
+			}
+			runtime.Gosched() // others may have become ready, and this may be the only processor
+			l.mu.Lock()
+			ended := l.ended
+			l.mu.Unlock()
+			if ended {
+				return true
+			}
+		}
+	})
+}
+
+// epollNow looks without waiting, so the runtime need not be told of the call.
+func epollNow(fd int, events []unix.EpollEvent) int {
+	n, _, e := syscall.RawSyscall6(unix.SYS_EPOLL_PWAIT, uintptr(fd), uintptr(unsafe.Pointer(&events[0])), uintptr(len(events)), 0, 0, 0)
+	if e != 0 {
+		return 0
+	}
+	return int(n)
+}
+
+func (l *loop) dispatch(ev *unix.EpollEvent) {
+	l.mu.Lock()
+	var s source
+	if at := int(ev.Fd); at < len(l.slots) && l.slots[at].gen == ev.Pad {
+		s = l.slots[at].source
+	}
+	l.mu.Unlock()
+	if s != nil {
+		s.ready(ev.Events)
+	}
+}
+
+// add gives a descriptor a slot and watches it.
+func (l *loop) add(fd int, s source, events uint32) (slot, gen int32, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ended {
+		return 0, 0, errEnded
+	}
+	if n := len(l.free); n > 0 {
+		slot, l.free = l.free[n-1], l.free[:n-1]
+	} else {
+		slot = int32(len(l.slots))
+		l.slots = append(l.slots, entry{})
+	}
+	e := &l.slots[slot]
+	e.source = s
+	gen = e.gen
+	if err := unix.EpollCtl(l.epoll, unix.EPOLL_CTL_ADD, fd, &unix.EpollEvent{Events: events, Fd: slot, Pad: gen}); err != nil {
+		e.source = nil
+		l.free = append(l.free, slot)
+		return 0, 0, fmt.Errorf("epoll: %w", err)
+	}
+	return slot, gen, nil
+}
+
+func (l *loop) remove(slot int32) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := &l.slots[slot]
+	e.source = nil
+	e.gen++
+	l.free = append(l.free, slot)
+}
+
+// post has the loop call f soon.
+func (l *loop) post(f func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ended {
+		return
+	}
+	l.calls = append(l.calls, f)
+	if !l.woken {
+		l.woken = true
+		unix.Write(l.wake, []byte{1, 0, 0, 0, 0, 0, 0, 0})
+	}
+}
+
+// ready runs what was posted.
+func (l *loop) ready(uint32) {
+	var b [8]byte
+	unix.Read(l.wake, b[:])
+	l.mu.Lock()
+	calls := l.calls
+	l.calls, l.woken = nil, false
+	l.mu.Unlock()
+	for _, f := range calls {
+		f()
+	}
+}
+
+// Listener accepts connections on one address.
+type Listener struct {
+	group  *Group
+	loop   *loop
+	fd     int
+	addr   net.Addr
+	accept func() Handler
+
+	mu     sync.Mutex
+	slot   int32
+	gen    int32
+	closed bool
+}
+
+// Listen opens an address. Each connection that comes is given a handler by accept.
+func (g *Group) Listen(addr string, accept func() Handler) (*Listener, error) {
+	nl, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	defer nl.Close()
+	f, err := nl.(*net.TCPListener).File()
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	fd, err := unix.FcntlInt(f.Fd(), unix.F_DUPFD_CLOEXEC, 0)
+	if err != nil {
+		return nil, err
+	}
+	unix.SetNonblock(fd, true) // Fd has made it wait
+	l := &Listener{group: g, loop: g.loops[0], fd: fd, addr: nl.Addr(), accept: accept}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.slot, l.gen, err = l.loop.add(fd, l, unix.EPOLLIN); err != nil {
+		unix.Close(fd)
+		return nil, err
+	}
+	return l, nil
+}
+
+// Addr is the address that is listened on.
+func (l *Listener) Addr() net.Addr { return l.addr }
+
+// Close ends the accepting; connections stay.
+func (l *Listener) Close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.closed {
+		l.closed = true
+		l.loop.remove(l.slot)
+		unix.Close(l.fd)
+	}
+}
+
+func (l *Listener) ready(uint32) {
+	for range acceptsMost {
+		l.mu.Lock()
+		if l.closed {
+			l.mu.Unlock()
+			return
+		}
+		fd, _, err := unix.Accept4(l.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		if err == unix.EMFILE || err == unix.ENFILE || err == unix.ENOBUFS || err == unix.ENOMEM {
+			l.rest()
+		}
+		l.mu.Unlock()
+		if err == unix.ECONNABORTED || err == unix.EINTR {
+			continue
+		}
+		if err != nil {
+			return
+		}
+		unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+		lp := l.group.pick()
+		c := &Conn{loop: lp, fd: fd, handler: l.accept(), want: unix.EPOLLIN | unix.EPOLLRDHUP}
+		if lp == l.loop {
+			c.begin()
+		} else {
+			lp.post(c.begin)
+		}
+	}
+}
+
+// rest stops the accepting for a moment: while no descriptor is free every look would fail at once.
+func (l *Listener) rest() {
+	mod := func(events uint32) {
+		unix.EpollCtl(l.loop.epoll, unix.EPOLL_CTL_MOD, l.fd, &unix.EpollEvent{Events: events, Fd: l.slot, Pad: l.gen})
+	}
+	mod(0)
+	time.AfterFunc(acceptPause, func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if !l.closed {
+			mod(unix.EPOLLIN)
+		}
+	})
+}
--- /dev/null
+++ b/internal/standin/catalog.go
@@ -0,0 +1,129 @@
+// Package standin holds the peers that experiments and tests start in process: discovery's list of servers, a
+// server of lines and a NATS server, each with switches for faults. They speak the published protocols on
+// loopback and are no part of the balancer.
+package standin
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Node is an entry of a Catalog.
+type Node struct {
+	ID        string  `json:"id"`
+	Addr      string  `json:"addr"`
+	Zone      string  `json:"zone"`
+	Kind      string  `json:"kind"`
+	Cell      int     `json:"cell"`
+	State     string  `json:"state"` // in_service, terminating or terminated
+	Weight    float64 `json:"weight"`
+	StartedMS int64   `json:"started_ms"`
+}
+
+// States of a Node.
+const (
+	InService   = "in_service"
+	Terminating = "terminating"
+	Terminated  = "terminated"
+)
+
+// waitMost bounds the time that a watch waits.
+const waitMost = 60 * time.Second
+
+// Catalog is discovery's service: the list of nodes over HTTP, whole or from a version on.
+type Catalog struct {
+	listener net.Listener
+	server   *http.Server
+
+	mu      sync.Mutex
+	version int64
+	nodes   []Node
+	changed []int64 // the version of each node's last change
+	news    chan struct{}
+}
+
+// NewCatalog starts a service on a port of loopback that the kernel picks.
+func NewCatalog(nodes ...Node) (*Catalog, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	c := &Catalog{listener: l, version: 1, news: make(chan struct{})}
+	for _, n := range nodes {
+		c.nodes, c.changed = append(c.nodes, n), append(c.changed, 1)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /catalog/members", c.members)
+	c.server = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	go c.server.Serve(l)
+	return c, nil
+}
+
+// Addr is where the service listens.
+func (c *Catalog) Addr() string { return c.listener.Addr().String() }
+
+// Close ends the service and all calls that wait.
+func (c *Catalog) Close() { c.server.Close() }
+
+// Set adds a node or changes the one with its id; watches hear of it at once.
+func (c *Catalog) Set(n Node) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.version++
+	at := -1
+	for i := range c.nodes {
+		if c.nodes[i].ID == n.ID {
+			at = i
+		}
+	}
+	if at < 0 {
+		c.nodes, c.changed = append(c.nodes, Node{}), append(c.changed, 0)
+		at = len(c.nodes) - 1
+	}
+	c.nodes[at], c.changed[at] = n, c.version
+	close(c.news)
+	c.news = make(chan struct{})
+}
+
+type answer struct {
+	Version int64  `json:"version"`
+	Full    bool   `json:"full"`
+	Servers []Node `json:"servers"`
+}
+
+// since is what has changed after a version; with full it is the whole list.
+func (c *Catalog) since(after int64, full bool) (answer, <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a := answer{Version: c.version, Full: full, Servers: []Node{}}
+	for i, n := range c.nodes {
+		if full && n.State != Terminated || !full && c.changed[i] > after {
+			a.Servers = append(a.Servers, n)
+		}
+	}
+	return a, c.news
+}
+
+func (c *Catalog) members(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, err := strconv.ParseInt(q.Get("after"), 10, 64)
+	a, news := c.since(after, err != nil)
+	if err == nil && len(a.Servers) == 0 {
+		ms, _ := strconv.ParseInt(q.Get("wait_ms"), 10, 64)
+		timer := time.NewTimer(min(time.Duration(ms)*time.Millisecond, waitMost))
+		defer timer.Stop()
+		select {
+		case <-news:
+			a, _ = c.since(after, false)
+		case <-timer.C:
+		case <-r.Context().Done():
+			return
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(a)
+}
--- /dev/null
+++ b/internal/standin/lineserver.go
@@ -0,0 +1,156 @@
+package standin
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// LineServer is a server of lines: it answers OPEN with UP and returns each line of an open connection.
+type LineServer struct {
+	listener net.Listener
+	wg       sync.WaitGroup
+
+	mu       sync.Mutex
+	conns    map[net.Conn]*lineConn
+	draining bool
+
+	opened atomic.Int64
+	late   atomic.Int64
+}
+
+type lineConn struct {
+	w    *bufio.Writer
+	mu   sync.Mutex // of the writer
+	open bool
+}
+
+// NewLineServer starts a server on a port of loopback that the kernel picks.
+func NewLineServer() (*LineServer, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s := &LineServer{listener: l, conns: map[net.Conn]*lineConn{}}
+	s.wg.Go(s.accept)
+	return s, nil
+}
+
+// Addr is where the server listens.
+func (s *LineServer) Addr() string { return s.listener.Addr().String() }
+
+// Open counts the connections that stand.
+func (s *LineServer) Open() (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns {
+		if c.open {
+			n++
+		}
+	}
+	return n
+}
+
+// Opened counts the connections that ever stood, and Late those that came after Drain.
+func (s *LineServer) Opened() int64 { return s.opened.Load() }
+
+// Late counts the openings that came after Drain.
+func (s *LineServer) Late() int64 { return s.late.Load() }
+
+// Drain turns new connections away and sends those that stand away, one after another.
+func (s *LineServer) Drain(between time.Duration) {
+	s.mu.Lock()
+	s.draining = true
+	conns := make(map[net.Conn]*lineConn, len(s.conns))
+	for nc, c := range s.conns {
+		if c.open {
+			conns[nc] = c
+		}
+	}
+	s.mu.Unlock()
+	for nc, c := range conns {
+		c.mu.Lock()
+		c.w.WriteString("MOVE\r\n")
+		c.w.Flush()
+		c.mu.Unlock()
+		nc.Close()
+		time.Sleep(between)
+	}
+}
+
+// Close ends the server with all its connections.
+func (s *LineServer) Close() {
+	s.listener.Close()
+	s.mu.Lock()
+	for nc := range s.conns {
+		nc.Close()
+	}
+	s.mu.Unlock()
+	s.wg.Wait()
+}
+
+func (s *LineServer) accept() {
+	for {
+		nc, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		c := &lineConn{w: bufio.NewWriter(nc)}
+		s.mu.Lock()
+		s.conns[nc] = c
+		s.mu.Unlock()
+		s.wg.Go(func() {
+			s.serve(nc, c)
+			nc.Close()
+			s.mu.Lock()
+			delete(s.conns, nc)
+			s.mu.Unlock()
+		})
+	}
+}
+
+func (s *LineServer) serve(nc net.Conn, c *lineConn) {
+	r := bufio.NewReaderSize(nc, 4<<10)
+	for {
+		line, err := r.ReadSlice('\n')
+		if err != nil {
+			return
+		}
+		c.mu.Lock()
+		switch {
+		case c.open:
+			c.w.Write(line)
+		case strings.HasPrefix(string(line), "OPEN "):
+			s.mu.Lock()
+			turnedAway := s.draining
+			c.open = !turnedAway
+			s.mu.Unlock()
+			if turnedAway {
+				s.late.Add(1)
+				c.w.WriteString("BUSY\r\n")
+			} else {
+				fmt.Fprintf(c.w, "UP r%d\r\n", s.opened.Add(1))
+			}
+		case strings.HasPrefix(string(line), "STATS"):
+			s.mu.Lock()
+			n := len(s.conns)
+			s.mu.Unlock()
+			fmt.Fprintf(c.w, "PONG inflight=%d\r\n", n)
+		case strings.HasPrefix(string(line), "PING"):
+			c.w.WriteString("PONG\r\n")
+		default:
+			c.w.WriteString("ERR\r\n")
+		}
+		if r.Buffered() == 0 {
+			err = c.w.Flush()
+		}
+		c.mu.Unlock()
+		if err != nil {
+			return
+		}
+	}
+}
