Read and write the NATS client protocol in place, without allocation

Need: the NATS front wants a codec that works on the connection's own buffer. internal/nats/codec parses every frame of the client protocol, gives faults in the protocol's own -ERR words, matches subjects, and writes statuses. Tested by rapid (any cut of a valid stream reads the same), a fuzz target (garbage ends in an error; what waits is bounded) and a test that a frame with headers parses with 0 allocations.

--- /dev/null
+++ b/internal/nats/codec/codec_test.go
@@ -0,0 +1,208 @@
+package codec
+
+import (
+	"bytes"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	flag.Set("rapid.seed", "7")
+	flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// drawn is a valid frame.
+func drawn(t *rapid.T) []byte {
+	token := rapid.StringMatching(`[a-zA-Z0-9_$-]{1,6}`)
+	subject := rapid.Map(rapid.SliceOfN(token, 1, 4), func(s []string) []byte { return []byte(strings.Join(s, ".")) })
+	reply := rapid.OneOf(rapid.Just([]byte(nil)), subject)
+	body := rapid.SliceOfN(rapid.Byte(), 0, 60).Draw(t, "body")
+	headers := 0
+	if rapid.Bool().Draw(t, "headers") {
+		h := AppendStatus(nil, 503, "", 0)
+		headers, body = len(h), append(h, body...)
+	}
+	sid := []byte(token.Draw(t, "sid"))
+	switch rapid.IntRange(0, 8).Draw(t, "kind") {
+	case 0:
+		return []byte(PingFrame)
+	case 1:
+		return []byte("pong\r\n")
+	case 2:
+		return append(append(AppendPub(nil, subject.Draw(t, "s"), reply.Draw(t, "r"), headers, len(body)), body...), "\r\n"...)
+	case 3:
+		return append(append(AppendMsg(nil, subject.Draw(t, "s"), sid, reply.Draw(t, "r"), headers, len(body)), body...), "\r\n"...)
+	case 4:
+		return AppendSub(nil, subject.Draw(t, "s"), reply.Draw(t, "q"), sid)
+	case 5:
+		return AppendUnsub(nil, sid, rapid.IntRange(0, 99).Draw(t, "max"))
+	case 6:
+		return AppendErr(nil, "Stale Connection")
+	case 7:
+		return AppendJSON(nil, "INFO", ServerInfo{ID: "x", MaxPayload: 7})
+	default:
+		return []byte("CONNECT {\"verbose\":false}\r\n")
+	}
+}
+
+// text is a frame's meaning, apart from where its bytes stand.
+func text(f Frame) string {
+	return fmt.Sprintf("%d %q %q %q %q %d %d %q %q", f.Op, f.Subject, f.Reply, f.Queue, f.SID, f.Max, f.Headers, f.Body, f.Raw)
+}
+
+// A stream reads the same however it is cut.
+func TestAnyCutReadsTheSame(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var stream []byte
+		var want []string
+		for range rapid.IntRange(1, 8).Draw(t, "frames") {
+			b := drawn(t)
+			f, n, err := Parse(b, Limits{})
+			if err != nil || n != len(b) {
+				t.Fatalf("%q: %d of %d, %v", b, n, len(b), err)
+			}
+			want = append(want, text(f))
+			stream = append(stream, b...)
+		}
+		var got []string
+		var in []byte
+		for len(stream) > 0 {
+			n := min(rapid.IntRange(1, 50).Draw(t, "cut"), len(stream))
+			in, stream = append(in, stream[:n]...), stream[n:]
+			for len(in) > 0 {
+				f, n, err := Parse(in, Limits{})
+				if err != nil {
+					t.Fatalf("%q: %v", in, err)
+				}
+				if n == 0 {
+					break
+				}
+				got = append(got, text(f))
+				in = in[n:]
+			}
+		}
+		if len(in) > 0 || strings.Join(got, "\n") != strings.Join(want, "\n") {
+			t.Fatalf("got %q and %q left, want %q", got, in, want)
+		}
+	})
+}
+
+func FuzzParse(f *testing.F) {
+	for _, s := range []string{"PING\r\n", "PUB a 2\r\nhi\r\n", "HPUB a b 12 14\r\nNATS/1.0\r\n\r\nhi\r\n", "SUB a q 1\r\n", "UNSUB 1 5\r\n",
+		"MSG a 1 2\r\nhi\r\n", "INFO {}\r\n", "CONNECT {}\r\n", "-ERR 'x'\r\n", "+OK\r\n", "PUB a 999999999\r\n", "\r\n", "PUB  a\t0\r\n\r\n"} {
+		f.Add([]byte(s))
+	}
+	limits := Limits{ControlLine: 64, Payload: 128}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		for len(b) > 0 {
+			fr, n, err := Parse(b, limits)
+			if err != nil {
+				var e Error
+				if !errors.As(err, &e) {
+					t.Fatalf("%v is no Error", err)
+				}
+				return
+			}
+			if n == 0 {
+				// What is kept for later has a bound.
+				if most := limits.ControlLine*infoTimes + 2 + limits.Payload + 2; len(b) > most {
+					t.Fatalf("%d bytes wait for more", len(b))
+				}
+				return
+			}
+			if len(fr.Raw) != n || fr.Headers > len(fr.Body) {
+				t.Fatalf("%d bytes, %+v", n, fr)
+			}
+			b = b[n:]
+		}
+	})
+}
+
+func TestFaults(t *testing.T) {
+	for in, want := range map[string]error{
+		"HELLO\r\n":                           ErrUnknown,
+		"GARBAGE!!":                           ErrUnknown,
+		"\r\n":                                ErrParse,
+		"PUB a\r\n":                           ErrParse,
+		"PUB a x\r\n":                         ErrParse,
+		"PUB a 1 2 3\r\n":                     ErrParse,
+		"PUB a -1\r\n":                        ErrParse,
+		"PUB a 4\r\nhix\r\n\r\n":              ErrParse,
+		"PUB a 9999999999\r\n":                ErrParse,
+		"PUB a 1048577\r\n":                   ErrPayload,
+		"PUB a.* 0\r\n\r\n":                   ErrPubSubject,
+		"PUB a..b 0\r\n\r\n":                  ErrPubSubject,
+		"SUB a.>.b 1\r\n":                     ErrSubject,
+		"SUB a\r\n":                           ErrParse,
+		"UNSUB\r\n":                           ErrParse,
+		"HPUB a 5 4\r\n":                      ErrParse,
+		"PUB " + strings.Repeat("a", 5000):    ErrControl,
+		"INFO " + strings.Repeat("a", 5000):   nil,
+		"INFO " + strings.Repeat("a", 70_000): ErrControl,
+		"PUB a 10\r\nhi":                      nil,
+		"PU":                                  nil,
+	} {
+		if _, n, err := Parse([]byte(in), Limits{}); err != want || n != 0 {
+			t.Errorf("%.30q: %d, %v, want %v", in, n, err, want)
+		}
+	}
+}
+
+func TestSubjects(t *testing.T) {
+	for _, c := range []struct {
+		pattern, subject string
+		want             bool
+	}{
+		{"a.b", "a.b", true}, {"a.*", "a.b", true}, {"a.*", "a.b.c", false}, {"a.>", "a.b.c", true}, {"a.>", "a", false},
+		{">", "a", true}, {"*.b", "a.b", true}, {"a", "a.b", false}, {"a.b", "a", false}, {"a.*.c", "a.b.c", true},
+	} {
+		if got := Match([]byte(c.pattern), []byte(c.subject)); got != c.want {
+			t.Errorf("%s takes in %s: %v", c.pattern, c.subject, got)
+		}
+	}
+	if got := Token([]byte("a.b.c"), 1); string(got) != "b" || Token([]byte("a"), 1) != nil {
+		t.Errorf("token %q", got)
+	}
+}
+
+func TestStatus(t *testing.T) {
+	got := AppendStatus(nil, StatusRefused, "Refused", 1500*time.Microsecond)
+	if want := "NATS/1.0 429 Refused\r\nRetry-After-Ms: 2\r\n\r\n"; string(got) != want {
+		t.Errorf("%q", got)
+	}
+	if got := AppendStatus(nil, StatusNoResponders, "", 0); string(got) != "NATS/1.0 503\r\n\r\n" {
+		t.Errorf("%q", got)
+	}
+}
+
+func TestParseAllocatesNothing(t *testing.T) {
+	b := []byte("HPUB a.b reply.to 12 14\r\nNATS/1.0\r\n\r\nhi\r\n")
+	if n := testing.AllocsPerRun(100, func() {
+		if _, n, err := Parse(b, Limits{}); n != len(b) || err != nil {
+			t.Fatal(n, err)
+		}
+	}); n != 0 {
+		t.Errorf("%v allocations", n)
+	}
+	if !bytes.HasPrefix(b, []byte("HPUB")) {
+		t.Error("changed")
+	}
+}
+
+func BenchmarkParse(b *testing.B) {
+	frame := append(append([]byte("MSG updates.oviedo.17 42 128\r\n"), bytes.Repeat([]byte{'x'}, 128)...), "\r\n"...)
+	b.SetBytes(int64(len(frame)))
+	b.ReportAllocs()
+	for b.Loop() {
+		Parse(frame, Limits{})
+	}
+}
