--- /dev/null
+++ b/config/operator/operator.go
@@ -0,0 +1,187 @@
+// Package operator reads operator files: our own settings, as S-expressions. The platform's settings stay JSON, and no
+// operator file leaves the program as it is without. Reading is strict, and all faults of a file are told in one go.
+package operator
+
+import (
+	"errors"
+	"net"
+	"os"
+	"slices"
+	"strconv"
+	"time"
+
+	"olympos.io/encoding/edn"
+)
+
+// EnvFile names the operator file, where the command line does not.
+const EnvFile = "MILLETVANE_OPERATOR"
+
+// Settings are what an operator file holds. A nil part is off.
+type Settings struct {
+	NATS *NATS
+}
+
+// NATS switches the NATS client protocol on.
+type NATS struct {
+	Listen           string        // where clients connect
+	NodePort         int           // at which nodes speak NATS; 0: at their listed address
+	Cluster          bool          // the nodes pass messages on to each other
+	MaxPayload       int           // bytes
+	ControlLine      int           // bytes
+	MaxSubscriptions int           // a session
+	MaxRequests      int           // out at once, a session
+	MaxPending       int           // bytes that wait for one peer before its source is left unread
+	PingEvery        time.Duration // to nodes
+	MoveWithin       time.Duration // a session has another node by then, or is closed
+	FlushWithin      time.Duration // an old node has handed over what it has queued by then
+	MaxShared        int           // connections to nodes for requests that left their session's node
+	Session          Session
+	Requests         []Request
+}
+
+// Session says what a client's CONNECT is to the rules.
+type Session struct {
+	Class string
+	Key   From
+	Group From
+	Wait  time.Duration // for a node
+}
+
+// Request is a class of requests: PUB with a reply on a subject that the pattern takes in. The first that fits counts.
+type Request struct {
+	Subject  string
+	Class    string
+	Deadline time.Duration
+	Key      From
+	Line     int // in the file
+}
+
+// From says where a key comes from: user, name, client (each its own), session (the session's key), or the token of a
+// subject.
+type From struct {
+	What  string
+	Token int // of What "token", from 0
+}
+
+// Load reads a file. The classes are those that the platform's settings name; empty: any may be named. An error joins all
+// Faults.
+func Load(file string, classes []string) (*Settings, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(file, text, classes)
+}
+
+// Parse is Load for a text.
+func Parse(file string, text []byte, classes []string) (*Settings, error) {
+	forms, err := read(file, text)
+	if err != nil {
+		return nil, err
+	}
+	var faults []Fault
+	top := &section{file: file, faults: &faults}
+	top.open(forms)
+	s := &Settings{}
+	if vals, line := top.values("nats"); line > 0 {
+		in := &section{file: file, path: "nats", line: line, faults: &faults}
+		in.open(vals, "request")
+		s.NATS = readNATS(in, classes)
+		in.close()
+	}
+	top.close()
+	if len(faults) == 0 {
+		return s, nil
+	}
+	slices.SortStableFunc(faults, func(a, b Fault) int { return a.Line - b.Line })
+	errs := make([]error, len(faults))
+	for i, f := range faults {
+		errs[i] = f
+	}
+	return nil, errors.Join(errs...)
+}
+
+func readNATS(s *section, classes []string) *NATS {
+	n := &NATS{
+		Listen:           s.text("listen", ""),
+		NodePort:         s.integer("node-port", 0, 1, 65535),
+		Cluster:          s.boolean("cluster", false),
+		MaxPayload:       s.integer("max-payload", 1<<20, 1, 64<<20),
+		ControlLine:      s.integer("control-line", 4096, 512, 1<<20),
+		MaxSubscriptions: s.integer("max-subscriptions", 1000, 1, 1_000_000),
+		MaxRequests:      s.integer("max-requests", 1024, 1, 1_000_000),
+		MaxPending:       s.integer("max-pending", 64<<10, 4096, 64<<20),
+		PingEvery:        s.duration("ping-every", time.Second, 100*time.Millisecond, time.Minute),
+		MoveWithin:       s.duration("move-within", 5*time.Second, 100*time.Millisecond, time.Minute),
+		FlushWithin:      s.duration("flush-within", 2*time.Second, 10*time.Millisecond, time.Minute),
+		MaxShared:        s.integer("max-shared", 64, 0, 10_000),
+		Session:          Session{Class: "", Key: From{What: "client"}, Wait: 2 * time.Second},
+	}
+	if n.Listen == "" {
+		s.fault(s.line, "listen", "is missing")
+	} else if host, port, err := net.SplitHostPort(n.Listen); err != nil || net.ParseIP(host) == nil {
+		s.fault(s.line, "listen", "%q is not IP:port", n.Listen)
+	} else if _, err := strconv.ParseUint(port, 10, 16); err != nil {
+		s.fault(s.line, "listen", "%q is not IP:port", n.Listen)
+	}
+	if vals, line := s.values("session"); line > 0 {
+		in := &section{file: s.file, path: s.path + ".session", line: line, faults: s.faults}
+		in.open(vals)
+		n.Session.Class = in.class(classes)
+		n.Session.Key = in.from("key", n.Session.Key, "user", "name", "client")
+		n.Session.Group = in.from("group", From{}, "user", "name")
+		n.Session.Wait = in.duration("wait", n.Session.Wait, 10*time.Millisecond, time.Minute)
+		in.close()
+	} else if len(classes) > 0 {
+		n.Session.Class = classes[0]
+	}
+	s.used["request"] = true
+	for _, f := range s.keys["request"] {
+		in := &section{file: s.file, path: s.path + ".request", line: f.line, faults: s.faults}
+		in.open(f.list[1:])
+		r := Request{Subject: in.text("subject", ""), Class: in.class(classes), Line: f.line,
+			Deadline: in.duration("deadline", time.Second, time.Millisecond, time.Hour),
+			Key:      in.from("key", From{What: "session"}, "session", "user", "token")}
+		if r.Subject == "" {
+			in.fault(f.line, "subject", "is missing")
+		}
+		for _, other := range n.Requests {
+			if other.Subject == r.Subject && r.Subject != "" {
+				in.fault(f.line, "subject", "%q is given twice, first on line %d", r.Subject, other.Line)
+			}
+		}
+		in.close()
+		n.Requests = append(n.Requests, r)
+	}
+	return n
+}
+
+func (s *section) class(classes []string) string {
+	name := s.text("class", "")
+	switch {
+	case name == "" && len(classes) > 0:
+		return classes[0]
+	case name != "" && len(classes) > 0 && !slices.Contains(classes, name):
+		_, line := s.values("class")
+		s.fault(line, "class", "%q is no class of the settings", name)
+	}
+	return name
+}
+
+// from reads a word, or (token N) where that is allowed.
+func (s *section) from(key string, otherwise From, words ...string) From {
+	v, ok := s.one(key)
+	if !ok {
+		return otherwise
+	}
+	if w, ok := v.atom.(edn.Symbol); ok && w != "token" && slices.Contains(words, string(w)) {
+		return From{What: string(w)}
+	}
+	if slices.Contains(words, "token") && v.isList() && len(v.list) == 2 && v.list[0].atom == edn.Symbol("token") {
+		if n, ok := v.list[1].atom.(int64); ok && n >= 0 && n < 64 {
+			return From{What: "token", Token: int(n)}
+		}
+	}
+	s.fault(v.line, key, "%s is none of %v", v, words)
+	return otherwise
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -7,14 +7,19 @@
 	"fmt"
 	"log/slog"
 	"math"
+	"reflect"
 	"sync"
 	"time"
 
 	"example.org/milletvane/config"
+	"example.org/milletvane/config/operator"
 	"example.org/milletvane/internal/discovery"
 	"example.org/milletvane/internal/engine"
 	"example.org/milletvane/internal/line/backend"
 	"example.org/milletvane/internal/line/front"
+	natsbackend "example.org/milletvane/internal/nats/backend"
+	"example.org/milletvane/internal/nats/codec"
+	natsfront "example.org/milletvane/internal/nats/front"
 	"example.org/milletvane/internal/reactor"
 	"example.org/milletvane/rules"
 )
@@ -25,12 +30,23 @@
 	logger  *slog.Logger
 	engine  *engine.Engine
 	lines   *backend.Backend
+	nats    *natsbackend.Backend // nil: off
+	nat     *operator.NATS
 	watcher *discovery.Watcher
 }
 
 // Option changes what New takes by default.
 type Option func(*Gateway)
 
+// WithOperator switches on what an operator file holds.
+func WithOperator(s *operator.Settings) Option {
+	return func(g *Gateway) {
+		if s != nil {
+			g.nat = s.NATS
+		}
+	}
+}
+
 // WithLogger sets the logger; the standard one serves otherwise.
 func WithLogger(l *slog.Logger) Option { return func(g *Gateway) { g.logger = l } }
 
@@ -56,17 +72,38 @@
 		Sockets: c.Limits.ForClients(), Openings: c.Limits.Idle(), Classes: classes, RetryAfter: c.Rules.MaxRetryAfter, DefaultWait: c.Node.LongestWait, AnswerSlack: c.Node.AnswerSlack,
 		Pass: c.Node.Pass, TellsDelay: c.Node.TellsDelay, MessageAim: c.Node.MessageAim, Probes: c.Node.Probes, Drain: c.Drain,
 		Logger: g.logger,
-	}, balancer, attempts, g.watcher, attempts)
+	}, balancer, g, g.watcher, attempts)
 	g.lines = attempts
+	if n := g.nat; n != nil {
+		g.nats = natsbackend.New(natsbackend.Options{
+			ConnectTimeout: c.Node.ConnectTimeout, NodePort: n.NodePort, PingEvery: n.PingEvery, Pending: n.MaxPending,
+			MaxShared: n.MaxShared, Name: c.Name, Limits: codec.Limits{Payload: max(n.MaxPayload, nodePayload)},
+		})
+	}
 	g.watcher.Connect(g.engine.Post)
 	return g, nil
 }
 
+// nodePayload is what a node may send at once, though clients may not: it passes on what others publish.
+const nodePayload = 8 << 20
+
+// Send implements engine.Backend: each attempt goes by its client's protocol.
+func (g *Gateway) Send(a engine.Attempt) engine.Link {
+	if g.nats != nil && g.nats.Handles(a) {
+		return g.nats.Send(a)
+	}
+	return g.lines.Send(a)
+}
+
 // Reload goes over to a new configuration while Run serves: discovery's new address is asked at once. All else
 // is fixed for a gateway's life; where the new configuration has another value for it, the log says so. Reload
 // may be called at any time and from any goroutine.
-func (g *Gateway) Reload(c config.Config) {
-	g.logger.Info("reloaded", "discovery", c.Discovery, "kept", g.config.FixedChanges(&c))
+func (g *Gateway) Reload(c config.Config, op *operator.Settings) {
+	kept := g.config.FixedChanges(&c)
+	if op != nil && !reflect.DeepEqual(op.NATS, g.nat) || op == nil && g.nat != nil {
+		kept = append(kept, "operator.nats")
+	}
+	g.logger.Info("reloaded", "discovery", c.Discovery, "kept", kept)
 	g.watcher.SetAddr(c.Discovery)
 }
 
@@ -84,6 +121,16 @@
 	if err != nil {
 		return fmt.Errorf("listen %s: %w", g.config.Listen, err)
 	}
+	if g.nats != nil {
+		g.nats.Connect(g.engine, conns)
+		n, err := natsfront.Listen(g.config.Name, *g.nat, g.engine, g.nats, conns, g.logger)
+		if err != nil {
+			return err
+		}
+		defer n.Close()
+		defer context.AfterFunc(ctx, n.Leave)()
+		g.logger.Info("serving nats", "listen", n.Addr())
+	}
 	watching, stopWatching := context.WithCancel(context.Background())
 	defer stopWatching()
 	var wg sync.WaitGroup
--- /dev/null
+++ b/gateway/nats_test.go
@@ -0,0 +1,454 @@
+package gateway_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/nats-io/nats.go"
+	"go.uber.org/goleak"
+
+	"example.org/milletvane/config"
+	"example.org/milletvane/config/operator"
+	"example.org/milletvane/gateway"
+	"example.org/milletvane/internal/standin"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fleet is a gateway in front of stand-in NATS nodes.
+type fleet struct {
+	t       *testing.T
+	cluster *standin.NATSCluster
+	nodes   []*standin.NATSNode
+	catalog *standin.Catalog
+	addr    string
+	stop    context.CancelFunc
+	done    chan error
+}
+
+const natsOperator = `(nats (listen %q) (cluster true) (ping-every "200ms") %s
+  (session (class "session"))
+  (request (subject "svc.safe.*") (class "safe") (deadline "2s") (key (token 2)))
+  (request (subject "svc.unsafe.*") (class "unsafe") (deadline "1s")))`
+
+const natsSettings = `{"caps":{"max_attempts":5,"connect_timeout_ns":1000000000,"retry_after":true,"max_retry_after_ns":200000000},
+ "rules":{"stop_sending_within_ns":500000000},"discovery":"ask","family_info":{"mode":"proxy"},
+ "classes":[{"name":"session","effect":"idempotent","group":"all","give_up_ns":2000000000,"slo_ns":1000000000},
+  {"name":"safe","effect":"idempotent","group":"all","give_up_ns":2000000000,"slo_ns":300000000},
+  {"name":"unsafe","effect":"at_most_once","group":"all","give_up_ns":1000000000,"slo_ns":300000000}]}`
+
+func newFleet(t *testing.T, nodes int, alone bool, extra string) *fleet {
+	t.Parallel()
+	f := &fleet{t: t, cluster: standin.NewNATSCluster(standin.NewLedger(), alone), done: make(chan error, 1)}
+	var list []standin.Node
+	for i := range nodes {
+		n, err := f.cluster.Node(fmt.Sprint("node", i+1))
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(n.Close)
+		f.nodes = append(f.nodes, n)
+		list = append(list, f.entry(i, standin.InService))
+	}
+	var err error
+	if f.catalog, err = standin.NewCatalog(list...); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.catalog.Close)
+	f.addr = freeAddr(t)
+	c, err := config.Parse([]byte(fmt.Sprintf(`{"name":"g1","listen":%q,"discovery":%q,"settings":%s}`,
+		freeAddr(t), f.catalog.Addr(), natsSettings)), func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	op, err := operator.Parse("test", []byte(fmt.Sprintf(natsOperator, f.addr, extra)), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	logger := slog.New(slog.DiscardHandler)
+	if os.Getenv("GATEWAY_LOG") != "" {
+		logger = slog.Default()
+	}
+	g, err := gateway.New(*c, gateway.WithLogger(logger), gateway.WithOperator(op))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	f.stop = cancel
+	go func() { f.done <- g.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		select {
+		case err := <-f.done:
+			if err != nil {
+				t.Error(err)
+			}
+		case <-time.After(patience):
+			t.Error("the gateway did not stop")
+		}
+	})
+	return f
+}
+
+func freeAddr(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (f *fleet) entry(i int, state string) standin.Node {
+	return standin.Node{ID: fmt.Sprintf("s-%08x", i+1), Addr: f.nodes[i].Addr(), State: state, Weight: 1}
+}
+
+// drain has the list and, with tell, the node itself say that a node drains.
+func (f *fleet) drain(i int, tell bool) {
+	f.nodes[i].Drain(tell)
+	f.catalog.Set(f.entry(i, standin.Terminating))
+}
+
+// connect returns a client that does not come again by itself.
+func (f *fleet) connect(o ...nats.Option) *nats.Conn {
+	f.t.Helper()
+	var err error
+	for until := time.Now().Add(patience); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+		var nc *nats.Conn
+		if nc, err = nats.Connect("nats://"+f.addr, append([]nats.Option{nats.NoReconnect(), nats.Timeout(patience)}, o...)...); err == nil {
+			f.t.Cleanup(nc.Close)
+			return nc
+		}
+	}
+	f.t.Fatal(err)
+	return nil
+}
+
+// holder is the node that holds the only session.
+func (f *fleet) holder() int {
+	f.t.Helper()
+	for i, n := range f.nodes {
+		if n.Conns() > 0 {
+			return i
+		}
+	}
+	f.t.Fatal("no node holds it")
+	return 0
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for until := time.Now().Add(patience); !ok(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatalf("not so: %s", what)
+		}
+	}
+}
+
+func TestNATSSession(t *testing.T) {
+	f := newFleet(t, 3, false, "")
+	a, b := f.connect(nats.Name("a")), f.connect(nats.Name("b"))
+	sub, err := a.SubscribeSync("news.>")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.Flush()
+	for i := range 100 {
+		m := nats.NewMsg("news.x")
+		m.Header.Set("n", strconv.Itoa(i))
+		m.Data = []byte(strings.Repeat("x", i*1000))
+		if err := b.PublishMsg(m); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i := range 100 {
+		m, err := sub.NextMsg(patience)
+		if err != nil || m.Header.Get("n") != strconv.Itoa(i) || len(m.Data) != i*1000 {
+			t.Fatalf("message %d: %v, %v", i, m, err)
+		}
+	}
+	// Between clients a request is a plain message; that nobody listens comes from the node.
+	b.Subscribe("ask", func(m *nats.Msg) { m.Respond([]byte("yes")) })
+	b.Flush()
+	if m, err := a.Request("ask", nil, patience); err != nil || string(m.Data) != "yes" {
+		t.Errorf("%v, %v", m, err)
+	}
+	if _, err := a.Request("nobody", nil, patience); !errors.Is(err, nats.ErrNoResponders) {
+		t.Errorf("nobody listens: %v", err)
+	}
+	if _, err := nats.Connect("nats://"+f.addr, nats.UserInfo("nobody", "x"), nats.NoReconnect()); !errors.Is(err, nats.ErrAuthorization) {
+		t.Errorf("a client that the node turns away is told %v", err)
+	}
+	if err := a.Drain(); err != nil {
+		t.Error(err)
+	}
+	b.Close()
+	eventually(t, "nodes hold nothing", func() bool {
+		n := 0
+		for _, node := range f.nodes {
+			n += node.Conns() + node.Subs()
+		}
+		return n == 0
+	})
+}
+
+func TestNATSRequests(t *testing.T) {
+	f := newFleet(t, 3, true, "")
+	nc := f.connect()
+	for i := range 200 {
+		body := []byte(fmt.Sprintf("r%d body", i))
+		if m, err := nc.Request(fmt.Sprintf("svc.safe.%d", i), body, patience); err != nil || string(m.Data) != string(body) {
+			t.Fatalf("request %d: %v, %v", i, m, err)
+		}
+	}
+	if most, overlapping, _ := f.cluster.Requests(); most != 1 || overlapping != 0 {
+		t.Errorf("%d attempts at most, %d at once", most, overlapping)
+	}
+}
+
+// A node that answers nothing: a safe request is tried elsewhere, with the first attempt withdrawn; an unsafe one is given
+// up once its time is over, for it may have run.
+func TestNATSRequestsAtASilentNode(t *testing.T) {
+	f := newFleet(t, 2, true, "")
+	nc := f.connect()
+	at := f.holder()
+	f.nodes[at].Work(func([]byte) ([]byte, time.Duration) { return nil, 0 })
+	for i := range 6 {
+		if _, err := nc.Request(fmt.Sprintf("svc.safe.%d", i), []byte(fmt.Sprint("s", i)), patience); err != nil {
+			t.Errorf("safe request %d: %v", i, err)
+		}
+	}
+	timedOut := 0
+	for i := range 6 {
+		m, err := nc.Request(fmt.Sprintf("svc.unsafe.%d", i), []byte(fmt.Sprint("u", i)), patience)
+		if err != nil {
+			t.Errorf("unsafe request %d: %v", i, err)
+		} else if s := m.Header.Get("Status"); s != "" {
+			timedOut++
+		}
+	}
+	most, overlapping, _ := f.cluster.Requests()
+	if most > 5 || overlapping != 0 {
+		t.Errorf("%d attempts at most, %d at once", most, overlapping)
+	}
+	t.Logf("%d of 6 unsafe requests given up, %d attempts at most", timedOut, most)
+}
+
+// stream publishes numbered messages until stopped and checks that the client has each once and in order.
+func (f *fleet) stream(nc *nats.Conn, n int, during func(i int)) {
+	t := f.t
+	t.Helper()
+	var got []int
+	var mu sync.Mutex
+	if _, err := nc.Subscribe("stream.1", func(m *nats.Msg) {
+		i, _ := strconv.Atoi(string(m.Data))
+		mu.Lock()
+		defer mu.Unlock()
+		got = append(got, i)
+	}); err != nil {
+		t.Fatal(err)
+	}
+	nc.Flush()
+	for i := range n {
+		during(i)
+		f.cluster.Stream(1, i)
+		if i%10 == 0 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	eventually(t, "the last message is in", func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return len(got) > 0 && got[len(got)-1] == n-1
+	})
+	seen := map[int]bool{}
+	for i, x := range got {
+		if i > 0 && x <= got[i-1] {
+			t.Errorf("%d came behind %d", x, got[i-1])
+		}
+		seen[x] = true
+	}
+	lost := 0
+	for i := range n {
+		if !seen[i] && !f.cluster.Excused(1, i) {
+			lost++
+		}
+	}
+	if lost > 0 {
+		t.Errorf("%d messages are lost", lost)
+	}
+}
+
+// A node drains, and then the node moved to: the client stays connected and has each message once, in order.
+func TestNATSDrainsMoveTheSession(t *testing.T) {
+	for _, tell := range []bool{false, true} {
+		t.Run(fmt.Sprint("told ", tell), func(t *testing.T) {
+			f := newFleet(t, 4, false, "")
+			nc := f.connect()
+			drained := 0
+			f.stream(nc, 3000, func(i int) {
+				if i == 500 || i == 900 || i == 905 {
+					for j, n := range f.nodes {
+						if n.Conns() > 0 {
+							drained |= 1 << j
+							f.drain(j, tell)
+							break
+						}
+					}
+				}
+			})
+			eventually(t, "nothing is left at a drained node", func() bool {
+				for j, n := range f.nodes {
+					if drained&(1<<j) != 0 && n.Conns() > 0 {
+						return false
+					}
+				}
+				return true
+			})
+			if !nc.IsConnected() || nc.Reconnects > 0 {
+				t.Error("the client was cut off")
+			}
+		})
+	}
+}
+
+// A node that is killed or hangs, or dies inside a message, costs what it had not handed over, and its clients nothing else.
+func TestNATSFailuresMoveTheSession(t *testing.T) {
+	for name, fail := range map[string]func(*standin.NATSNode){
+		"kill": (*standin.NATSNode).Kill, "hang": (*standin.NATSNode).Hang,
+		"cut": func(n *standin.NATSNode) { n.Cut(); time.Sleep(5 * time.Millisecond); n.Kill() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 3, false, "")
+			nc := f.connect()
+			at := f.holder()
+			f.stream(nc, 2000, func(i int) {
+				if i == 500 {
+					fail(f.nodes[at])
+				}
+				if i == 1000 {
+					eventually(t, "it stands elsewhere", func() bool {
+						for j, n := range f.nodes {
+							if j != at && n.Subs() > 0 {
+								return true
+							}
+						}
+						return false
+					})
+				}
+			})
+			if !nc.IsConnected() {
+				t.Error("the client was cut off")
+			}
+		})
+	}
+}
+
+// A client that drops while its set-up is not confirmed leaves nothing anywhere.
+func TestNATSClientDropsInItsSetUp(t *testing.T) {
+	f := newFleet(t, 1, false, "")
+	f.connect().Close()
+	f.nodes[0].Stick(false)
+	f.nodes[0].Hang()
+	for range 20 {
+		c, err := net.Dial("tcp", f.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprint(c, "CONNECT {}\r\nSUB a 1\r\nPING\r\n")
+		c.Close()
+	}
+	eventually(t, "the node holds nothing", func() bool { return f.nodes[0].Conns() == 0 && f.nodes[0].Subs() == 0 })
+}
+
+// Bad input is answered with the protocol's own words, and closed.
+func TestNATSBadInput(t *testing.T) {
+	f := newFleet(t, 1, false, `(max-payload 100) (max-subscriptions 2)`)
+	f.connect().Close()
+	for in, want := range map[string]string{
+		"HELLO\r\n":                                       "Unknown Protocol Operation",
+		"PUB a 1\r\nx\r\n":                                "Authorization Violation",
+		"CONNECT nonsense\r\n":                            "Parser Error",
+		"CONNECT {}\r\nPUB a 101\r\n":                     "Maximum Payload Violation",
+		"CONNECT {}\r\nMSG a 1 0\r\n\r\n":                 "Unknown Protocol Operation",
+		"CONNECT {}\r\nSUB a !1\r\n":                      "Parser Error",
+		"CONNECT {}\r\nSUB a..b 1\r\n":                    "Invalid Subject",
+		"CONNECT {}\r\nPUB a.* 0\r\n":                     "Invalid Publish Subject",
+		strings.Repeat("a", 9):                            "Unknown Protocol Operation",
+		"SUB " + strings.Repeat("a", 5e3):                 "Maximum Control Line Exceeded",
+		"CONNECT {}\r\nSUB a 1\r\nSUB b 2\r\nSUB c 3\r\n": "maximum subscriptions exceeded",
+	} {
+		c, err := net.Dial("tcp", f.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		e := newEnd(t, c)
+		e.line() // INFO
+		e.send(in)
+		e.expect("-ERR '" + want + "'\r\n")
+		e.ends()
+	}
+}
+
+// A client in verbose mode has +OK for each operation, and one without headers reads statuses as payloads.
+func TestNATSPlainClient(t *testing.T) {
+	f := newFleet(t, 1, true, `(max-requests 1)`)
+	f.connect().Close()
+	c, err := net.Dial("tcp", f.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := newEnd(t, c)
+	e.line()
+	e.send("CONNECT {\"verbose\":true}\r\nPING\r\n")
+	e.expect("+OK\r\n")
+	e.expect("PONG\r\n")
+	e.send("SUB in 1\r\n")
+	e.expect("+OK\r\n")
+	f.nodes[0].Work(func(b []byte) ([]byte, time.Duration) { return b, 50 * time.Millisecond })
+	e.send("PUB svc.safe.1 in 2\r\nhi\r\nPUB svc.safe.2 in 2\r\nho\r\n")
+	var got []string
+	for range 6 {
+		got = append(got, strings.TrimSpace(e.line()))
+	}
+	text := strings.Join(got, "|")
+	if strings.Count(text, "+OK") != 2 || !strings.Contains(text, "NATS/1.0 429 Too Many Requests") {
+		t.Errorf("got %q", text)
+	}
+	e.expect("MSG in 1 2\r\n")
+	e.expect("hi\r\n")
+}
+
+// When the gateway stops, clients hear of it, what is under way ends, and the connections are closed in time.
+func TestNATSStop(t *testing.T) {
+	f := newFleet(t, 2, true, "")
+	var lame atomic.Bool
+	nc := f.connect(nats.LameDuckModeHandler(func(*nats.Conn) { lame.Store(true) }))
+	for _, n := range f.nodes {
+		n.Work(func(b []byte) ([]byte, time.Duration) { return b, 200 * time.Millisecond })
+	}
+	answered := make(chan error, 1)
+	go func() {
+		_, err := nc.Request("svc.safe.1", []byte("x"), patience)
+		answered <- err
+	}()
+	eventually(t, "the request is out", func() bool { most, _, _ := f.cluster.Requests(); return most == 1 })
+	f.stop()
+	if err := <-answered; err != nil {
+		t.Errorf("the request under way: %v", err)
+	}
+	eventually(t, "the client is closed", nc.IsClosed)
+	if !lame.Load() {
+		t.Error("the client was not told")
+	}
+}
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -15,6 +15,7 @@
 	"github.com/urfave/cli/v3"
 
 	"example.org/milletvane/config"
+	"example.org/milletvane/config/operator"
 	"example.org/milletvane/gateway"
 )
 
@@ -34,12 +35,12 @@
 		hups := make(chan os.Signal, 1)
 		signal.Notify(hups, syscall.SIGHUP)
 		defer signal.Stop(hups)
-		conf, err := config.Load(getenv)
+		conf, op, err := load(c, getenv)
 		if err != nil {
 			return err
 		}
 		gateway.Confine(conf.Limits)
-		g, err := gateway.New(*conf, gateway.WithLogger(logger))
+		g, err := gateway.New(*conf, gateway.WithLogger(logger), gateway.WithOperator(op))
 		if err != nil {
 			return err
 		}
@@ -53,10 +54,10 @@
 				case <-hups:
 				}
 				// A fault in the new file must not end a program that serves.
-				if c, err := config.Load(getenv); err != nil {
+				if conf, op, err := load(c, getenv); err != nil {
 					logger.Error("not reloaded, the old configuration stays", "err", err)
 				} else {
-					g.Reload(*c)
+					g.Reload(*conf, op)
 				}
 			}
 		}()
@@ -69,6 +70,7 @@
 		ErrWriter: errs,
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "log-format", Value: "text", Usage: "text (key=value) or json"},
+			&cli.StringFlag{Name: "operator", Usage: "operator `FILE` with our own settings; " + operator.EnvFile + " names it too"},
 			&cli.StringFlag{Name: "log-level", Value: "info", Usage: "debug, info, warn or error"},
 		},
 		Before: func(ctx context.Context, c *cli.Command) (context.Context, error) {
@@ -91,11 +93,16 @@
 			},
 			{
 				Name: "check-config", Usage: "read and check the configuration, and say what it comes to",
-				Action: func(context.Context, *cli.Command) error {
-					c, err := config.Load(getenv)
+				Action: func(_ context.Context, cmd *cli.Command) error {
+					c, op, err := load(cmd, getenv)
 					if err != nil {
 						return err
 					}
+					if op != nil && op.NATS != nil {
+						if _, err := fmt.Fprintf(out, "nats=%s classes_of_requests=%d\n", op.NATS.Listen, len(op.NATS.Requests)); err != nil {
+							return err
+						}
+					}
 					_, err = fmt.Fprintf(out, "name=%s listen=%s discovery=%s classes=%d gateways=%d connections=%d drain=%v\n",
 						c.Name, c.Listen, c.Discovery, len(c.Rules.Classes), c.Rules.Gateways, c.Limits.Connections(), c.Drain)
 					return err
@@ -111,6 +118,27 @@
 	return 0
 }
 
+// load reads the platform's configuration and, where one is named, the operator file.
+func load(c *cli.Command, getenv func(string) string) (*config.Config, *operator.Settings, error) {
+	conf, err := config.Load(getenv)
+	if err != nil {
+		return nil, nil, err
+	}
+	file := c.String("operator")
+	if file == "" {
+		file = getenv(operator.EnvFile)
+	}
+	if file == "" {
+		return conf, nil, nil
+	}
+	classes := make([]string, len(conf.Rules.Classes))
+	for i, class := range conf.Rules.Classes {
+		classes[i] = class.Name
+	}
+	op, err := operator.Load(file, classes)
+	return conf, op, err
+}
+
 // newLogger writes lines of the given form, from the given level up.
 func newLogger(out io.Writer, form, level string) (*slog.Logger, error) {
 	var least slog.Level
--- /dev/null
+++ b/internal/engine/act.go
@@ -0,0 +1,93 @@
+package engine
+
+import (
+	"time"
+
+	"example.org/milletvane/internal/slot"
+	"example.org/milletvane/rules"
+)
+
+// tell shows an event to the rules and carries out their actions.
+func (e *Engine) tell(ev rules.Event) {
+	e.queue = append(e.queue, ev)
+	if len(e.queue) > 1 {
+		return // called from an action; the loop below gets to it
+	}
+	for i := 0; i < len(e.queue); i++ {
+		for _, a := range e.rules.Handle(e.now, e.queue[i]) {
+			e.act(a)
+		}
+	}
+	clear(e.queue)
+	e.queue = e.queue[:0]
+}
+
+func (e *Engine) act(a rules.Action) {
+	switch a := a.(type) {
+	case rules.Send:
+		e.onSend(a)
+	case rules.Refuse:
+		if r, ok := e.requests.Get(slot.ID(a.ID)); ok && r.phase == waiting {
+			e.counts.refused++
+			r.client.Refuse(a.RetryAfter)
+			e.free(r)
+		}
+	case rules.Fail:
+		if r, ok := e.requests.Get(slot.ID(a.ID)); ok && r.phase == waiting {
+			e.fail(r)
+		}
+	case rules.Move:
+		if r, ok := e.requests.Get(slot.ID(a.ID)); ok && r.phase == open {
+			e.move(r, rules.Cancelled)
+		}
+	case rules.Watch:
+		e.lister.Watch()
+	case rules.Wake:
+		e.deadlines.Add(e.now+max(a.After, 0), due{kind: dueWake, ref: a.Ref})
+	case rules.Log:
+		e.opts.Logger.Info("rules", "text", a.Text)
+	}
+}
+
+// move sends an open connection's client away politely; its attempt ends with the result. Its slot is kept until
+// it has been told.
+func (e *Engine) move(r *request, result rules.Result) {
+	e.counts.moved++
+	r.phase, r.link = leaving, nil
+	within := r.client.Move()
+	if within <= 0 {
+		within = moveWithin
+	}
+	e.rearm(&r.answer, e.now+within, due{kind: dueMove, id: r.id})
+	e.tell(rules.Outcome{ID: rules.RequestID(r.id), Attempt: r.attempts - 1, Server: r.server, Result: result,
+		Elapsed: e.now - r.sent, Settled: true})
+}
+
+func (e *Engine) onSend(a rules.Send) {
+	r, ok := e.requests.Get(slot.ID(a.ID))
+	if !ok || r.phase != waiting || r.link != nil {
+		e.tell(rules.Outcome{ID: a.ID, Server: a.Server, Result: rules.Moot, Settled: true})
+		return
+	}
+	wait := r.deadline - e.now
+	if a.Timeout != 0 {
+		wait = min(wait, a.Timeout)
+	}
+	e.send(r, a.Server, wait)
+}
+
+func (e *Engine) send(r *request, to rules.ServerID, wait time.Duration) {
+	s := e.servers[to]
+	r.attempts++
+	r.server, r.sent = to, e.now
+	if s == nil || wait <= 0 {
+		result := rules.ConnectFailed // it left the list, and its address with it
+		if s != nil {
+			result = rules.TimedOut
+		}
+		e.outcome(r, result)
+		return
+	}
+	r.timeout = e.deadlines.Add(e.now+wait, due{kind: dueAttempt, id: r.id})
+	r.link = e.backend.Send(Attempt{Request: r.id, Number: r.attempts - 1, Server: to, Addr: s.addr, Client: r.client, Wait: wait})
+}
--- /dev/null
+++ b/internal/engine/api.go
@@ -0,0 +1,163 @@
+package engine
+
+import (
+	"log/slog"
+	"time"
+
+	"example.org/milletvane/internal/slot"
+	"example.org/milletvane/rules"
+)
+
+// Ticket ties a client to its slot. A front embeds it in its clients and leaves it alone.
+type Ticket struct{ id slot.ID }
+
+// Client is the front's end of a connection. The engine calls it from its own goroutine; no method may
+// wait for the peer. Refuse, Fail and Close are final: the client sends no Left after them. After Move it sends
+// Left once it has been told.
+type Client interface {
+	Slot() *Ticket
+	Refuse(after time.Duration) // nothing was done; trying again is harmless
+	Fail()                      // failed, with no promise, or never to be done
+	Close()                     // ended, both sides, with no word
+	// Move says that an open connection is to leave its server: its client is sent away politely, or taken elsewhere
+	// by its front. One that has not left after the time returned is closed; 0 is taken as a second.
+	Move() time.Duration
+}
+
+// Mover is a Client that its front can take to another server without the client's help. It is told as soon as its open
+// connection's server drains or is gone.
+type Mover interface{ ServerLeaves() }
+
+// Attempt is one try of a request at a server.
+type Attempt struct {
+	Request slot.ID
+	Number  int
+	Server  rules.ServerID
+	Addr    string
+	Client  Client
+	Wait    time.Duration // that the attempt is given
+}
+
+// Link is an attempt that has been started.
+type Link interface {
+	// Abandon gives up an attempt that is not up, before it returns. It returns false for one that is up,
+	// or that has ended by itself: word of that is on its way.
+	Abandon() bool
+	// Waiting is for how long the oldest line of the client has been without a line in return; 0: none is.
+	Waiting() time.Duration
+}
+
+// Backend starts attempts. Each reports Up at most once and Ended at most once, in this order, unless it
+// was abandoned or its client left.
+type Backend interface{ Send(Attempt) Link }
+
+// Lister keeps the list of servers up to date from Watch on, until it reports a List with Failed.
+type Lister interface{ Watch() }
+
+// Request is what a client asks for.
+type Request struct {
+	ID       string // the client's name for it; empty: none
+	Class    string
+	Tenant   string
+	Key      string
+	Group    string
+	Wait     time.Duration // that the client waits; 0: not stated
+	Load     float64       // in microseconds of work a second; 0: unknown
+	Returned bool
+	Stray    bool
+	At       string // the server that holds the connection since before the run
+}
+
+// Server is an entry of the list, with the address at which this gateway reaches it.
+type Server struct {
+	Name string
+	Addr string
+	rules.Server
+}
+
+// Event is what the engine is told.
+type Event interface{ event() }
+
+type (
+	// Accepted brings a connection that has asked for nothing yet.
+	Accepted struct{ Client Client }
+	// Alive says that a connection without a request is in use, as by health checks.
+	Alive struct{ Client Client }
+	// Arrived brings an accepted connection's request.
+	Arrived struct {
+		Client  Client
+		Request Request
+	}
+	// Asked brings a request without a connection of its own: its final answer ends it. Ended with rules.OK says that
+	// its server has given that.
+	Asked struct {
+		Client  Client
+		Request Request
+	}
+	// Leaving says that the server of an open connection has told that it drains, ahead of the list.
+	Leaving struct{ Request slot.ID }
+	// Left says that a client ended its connection.
+	Left struct{ Client Client }
+	// Rejected says that the front turned a client away for what it sent.
+	Rejected struct{ Client Client }
+	// Up says that a connection stands at its server.
+	Up struct {
+		Request slot.ID
+		Number  int
+		Elapsed time.Duration
+	}
+	// Ended is the end of an attempt, or of the connection that it set up.
+	Ended struct {
+		Request slot.ID
+		Number  int
+		Result  rules.Result
+	}
+	// Load tells the present load of an open connection.
+	Load struct {
+		Request slot.ID
+		Load    float64
+	}
+	// Answered tells how long an open connection's line took to be returned.
+	Answered struct {
+		Request slot.ID
+		Delay   time.Duration
+	}
+	// List brings news of the servers.
+	List struct {
+		Mode    rules.ListMode
+		Servers []Server
+	}
+	// Stop begins the end: what comes is still served, until Drain has gone by.
+	Stop struct{}
+)
+
+func (Accepted) event() {}
+func (Alive) event()    {}
+func (Arrived) event()  {}
+func (Asked) event()    {}
+func (Leaving) event()  {}
+func (Left) event()     {}
+func (Rejected) event() {}
+func (Up) event()       {}
+func (Ended) event()    {}
+func (Load) event()     {}
+func (Answered) event() {}
+func (List) event()     {}
+func (Stop) event()     {}
+
+// Options are what an engine goes by.
+type Options struct {
+	Sockets     int           // that clients and their servers may take: one for each side
+	Openings    int           // of these, for clients that have asked for nothing; 0: all
+	Classes     []string      // of requests; empty: any
+	RetryAfter  time.Duration // that a client is to stay away for want of sockets; 0: not stated
+	DefaultWait time.Duration // of a request that states none
+	AnswerSlack time.Duration // after a request's deadline an answer is still valid this long
+	Pass        bool          // open connections outlive this gateway: they are not moved when it stops
+	TellsDelay  bool          // the rules want word of slow messages
+	MessageAim  time.Duration // the shortest wanted time of a message; 0: none stated
+	Probes      bool          // servers may be asked for their load
+	Drain       time.Duration // from Stop to the end
+	QueueEvents int           // events that may wait; 0 is taken as 4096
+	Logger      *slog.Logger
+}
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -23,15 +23,16 @@
 
 type fakeClient struct {
 	Ticket
-	w    *world
-	name string
+	w      *world
+	name   string
+	within time.Duration
 }
 
 func (c *fakeClient) Slot() *Ticket          { return &c.Ticket }
 func (c *fakeClient) Refuse(d time.Duration) { c.w.note("refuse %s", c.name) }
 func (c *fakeClient) Fail()                  { c.w.note("fail %s", c.name) }
 func (c *fakeClient) Close()                 { c.w.note("close %s", c.name) }
-func (c *fakeClient) Move()                  { c.w.note("move %s", c.name) }
+func (c *fakeClient) Move() time.Duration    { c.w.note("move %s", c.name); return c.within }
 
 type fakeLink struct {
 	w     *world
--- /dev/null
+++ b/internal/engine/request.go
@@ -0,0 +1,276 @@
+package engine
+
+import (
+	"time"
+
+	"example.org/milletvane/internal/deadline"
+	"example.org/milletvane/internal/slot"
+	"example.org/milletvane/rules"
+)
+
+type phase uint8
+
+const (
+	opening phase = iota // has asked for nothing
+	waiting              // its final answer is owed
+	open                 // stands at a server
+	leaving              // is being told to move; the rules know it no more
+)
+
+type request struct {
+	id     slot.ID
+	name   string // as its client calls it; empty: nothing
+	client Client
+	phase  phase
+
+	carried  bool
+	deadline time.Duration
+	answer   *deadline.Item[due] // the end of its opening, or of its wait
+	attempts int
+	link     Link // the attempt that is out or open
+	server   rules.ServerID
+	sent     time.Duration
+	timeout  *deadline.Item[due]
+}
+
+func (e *Engine) rearm(it **deadline.Item[due], at time.Duration, d due) {
+	e.deadlines.Remove(*it)
+	*it = e.deadlines.Add(at, d)
+}
+
+func (e *Engine) of(c Client) *request {
+	r, _ := e.requests.Get(c.Slot().id)
+	return r
+}
+
+// free gives up a slot and all that hangs on it.
+func (e *Engine) free(r *request) {
+	e.deadlines.Remove(r.answer)
+	e.deadlines.Remove(r.timeout)
+	e.requests.Remove(r.id)
+	if r.phase == opening {
+		e.openings--
+	}
+	if e.named[r.name] == r.id {
+		delete(e.named, r.name)
+	}
+}
+
+// close ends a connection that has asked for nothing.
+func (e *Engine) close(r *request) {
+	e.counts.closed++
+	r.client.Close()
+	e.free(r)
+}
+
+// room makes room for one more socket where there is none left: the connection that has been idle for longest
+// without a request makes place, if need be. It guards against clients that connect by hundreds and say
+// nothing, which else would keep out all others. What a client asked for is never given up for it. A new
+// client has besides nil; else it is the one that now asks for something.
+func (e *Engine) room(besides *request) bool {
+	tooIdle := besides == nil && e.opts.Openings > 0 && e.openings >= e.opts.Openings
+	if 2*e.requests.Len()-e.openings < e.opts.Sockets && !tooIdle {
+		return true
+	}
+	var oldest *request
+	if e.openings > 0 {
+		e.requests.All(func(_ slot.ID, r *request) bool {
+			if r.phase == opening && r != besides && (oldest == nil || r.answer.At() < oldest.answer.At()) {
+				oldest = r
+			}
+			return true
+		})
+	}
+	if oldest == nil {
+		return false
+	}
+	e.close(oldest)
+	return true
+}
+
+func (e *Engine) onAccepted(c Client) {
+	if !e.room(nil) {
+		e.counts.refused++
+		c.Refuse(e.opts.RetryAfter)
+		return
+	}
+	r := &request{client: c}
+	r.id, _ = e.requests.Put(r) // there is a slot for each socket
+	e.openings++
+	c.Slot().id = r.id
+	r.answer = e.deadlines.Add(e.now+openingFor, due{kind: dueOpening, id: r.id})
+}
+
+func (e *Engine) onArrived(ev Arrived) {
+	r := e.of(ev.Client)
+	if r == nil || r.phase != opening {
+		return
+	}
+	q := ev.Request
+	if !e.usable(q) {
+		e.counts.rejected++
+		r.client.Fail()
+		e.free(r)
+		return
+	}
+	if !e.room(r) { // for its server's side
+		e.counts.refused++
+		r.client.Refuse(e.opts.RetryAfter)
+		e.free(r)
+		return
+	}
+	e.counts.taken++
+	if !e.ready.Load() && !e.toldNoList {
+		e.toldNoList = true
+		e.opts.Logger.Warn("no list of servers has come, requests wait or are refused")
+	}
+	if q.ID != "" {
+		r.name, e.named[q.ID] = q.ID, r.id
+	}
+	e.openings--
+	if q.Wait <= 0 {
+		q.Wait = e.opts.DefaultWait
+	}
+	r.phase, r.deadline = waiting, e.now+q.Wait
+	req := rules.Request{
+		ID: rules.RequestID(r.id), Class: q.Class, Tenant: q.Tenant, Key: q.Key, Group: q.Group,
+		Deadline: q.Wait, Load: q.Load, Returned: q.Returned, Stray: q.Stray,
+	}
+	if q.At != "" {
+		e.carry(r, req, q.At)
+		return
+	}
+	e.rearm(&r.answer, r.deadline+e.opts.AnswerSlack, due{kind: dueAnswer, id: r.id})
+	e.tell(req)
+}
+
+// onAsked takes a request that comes with its client.
+func (e *Engine) onAsked(ev Asked) {
+	if !e.room(nil) {
+		e.counts.refused++
+		ev.Client.Refuse(e.opts.RetryAfter)
+		return
+	}
+	e.onAccepted(ev.Client)
+	e.onArrived(Arrived(ev))
+}
+
+// usable reports whether a request can be served. No server is shown one that it cannot use: what a server
+// turns away, or closes on, would count against it though it is sound. One whose client's name for it is taken
+// by an open one would be taken for that; only an open connection's packets come under their old name.
+func (e *Engine) usable(q Request) bool {
+	if len(e.classes) > 0 && !e.classes[q.Class] {
+		return false
+	}
+	_, taken := e.named[q.ID]
+	return !taken || q.Stray
+}
+
+// carry takes up a connection that is open at a server since before this gateway ran. There is nothing to
+// decide: the line goes to that server, and the rules are told whom it holds.
+func (e *Engine) carry(r *request, req rules.Request, at string) {
+	id, known := e.names[at]
+	r.carried, r.deadline = true, max(r.deadline, e.now+carriedFor)
+	e.rearm(&r.answer, r.deadline+e.opts.AnswerSlack, due{kind: dueAnswer, id: r.id})
+	if !known {
+		e.opts.Logger.Warn("connection from before the run at an unlisted server", "server", at)
+		e.fail(r)
+		return
+	}
+	e.tell(rules.Carried{Request: req, Server: id})
+	e.send(r, id, r.deadline-e.now)
+}
+
+// fail gives a final answer that promises nothing.
+func (e *Engine) fail(r *request) {
+	e.counts.failed++
+	r.client.Fail()
+	e.free(r)
+}
+
+func (e *Engine) onLeft(c Client) {
+	r := e.of(c)
+	if r == nil {
+		return
+	}
+	if r.phase == waiting || r.phase == open {
+		e.counts.left++
+	}
+	e.drop(r)
+}
+
+// drop ends a request whose client is gone, and the attempt that is out for it.
+func (e *Engine) drop(r *request) {
+	e.free(r)
+	if r.phase == opening || r.phase == leaving {
+		return
+	}
+	id := rules.RequestID(r.id)
+	if r.phase == waiting && !r.carried {
+		e.tell(rules.Expired{ID: id})
+	}
+	if r.link != nil {
+		r.link.Abandon()
+		e.tell(rules.Outcome{ID: id, Attempt: r.attempts - 1, Server: r.server, Result: rules.Cancelled,
+			Elapsed: e.now - r.sent, Settled: true})
+	}
+}
+
+func (e *Engine) onUp(ev Up) {
+	r, ok := e.requests.Get(ev.Request)
+	if !ok || r.link == nil || r.attempts-1 != ev.Number || r.phase != waiting {
+		return
+	}
+	e.counts.up++
+	r.phase = open
+	e.deadlines.Remove(r.answer)
+	e.deadlines.Remove(r.timeout)
+	if !r.carried {
+		e.tell(rules.Opened{ID: rules.RequestID(r.id), Attempt: ev.Number, Server: r.server, Elapsed: ev.Elapsed})
+	}
+}
+
+func (e *Engine) onEnded(ev Ended) {
+	r, ok := e.requests.Get(ev.Request)
+	if !ok || r.link == nil || r.attempts-1 != ev.Number {
+		return
+	}
+	e.outcome(r, ev.Result)
+}
+
+// outcome reports the end of a request's attempt. What was open is over with it; else the rules go on.
+func (e *Engine) outcome(r *request, result rules.Result) {
+	e.deadlines.Remove(r.timeout)
+	r.link = nil
+	// What has no connection of its own is over with its answer.
+	settled := r.phase == open || result == rules.OK
+	out := rules.Outcome{ID: rules.RequestID(r.id), Attempt: r.attempts - 1, Server: r.server, Result: result,
+		Elapsed: e.now - r.sent, Settled: settled || r.carried}
+	switch {
+	case settled:
+		e.counts.ended++
+		e.free(r)
+	case r.carried:
+		e.opts.Logger.Warn("connection from before the run not taken up", "server", r.server, "result", result)
+		e.fail(r)
+	}
+	e.tell(out)
+}
+
+func (e *Engine) onTimeout(r *request) {
+	// The attempt is closed before the rules hear of it: two at once are never out.
+	if r.link != nil && r.phase == waiting && r.link.Abandon() {
+		e.outcome(r, rules.TimedOut)
+	}
+}
+
+// onOverdue guards the promise of one answer in time, should the rules ever owe it past the deadline.
+func (e *Engine) onOverdue(r *request) {
+	if r.link != nil && !r.link.Abandon() {
+		return // it is up; word of that is on its way
+	}
+	e.opts.Logger.Error("answer overdue", "attempts", r.attempts)
+	e.counts.failed++
+	r.client.Fail()
+	e.drop(r)
+}
--- a/internal/line/front/conn.go
+++ b/internal/line/front/conn.go
@@ -170,7 +170,10 @@
 }
 
 // Move implements engine.Client. Its loop tells the client, as word of it to the engine may have to wait.
-func (c *Conn) Move() { c.conn.Do(c.move) }
+func (c *Conn) Move() time.Duration {
+	c.conn.Do(c.move)
+	return 0
+}
 
 func (c *Conn) move() {
 	c.out.Lock()
--- /dev/null
+++ b/internal/nats/backend/backend.go
@@ -0,0 +1,77 @@
+// Package backend is the NATS client protocol towards nodes: it sets sessions up, carries their frames, and sends requests.
+// What it calls of a session it calls on the session's loop.
+package backend
+
+import (
+	"net"
+	"strconv"
+	"time"
+
+	"example.org/milletvane/internal/engine"
+	"example.org/milletvane/internal/nats/codec"
+	"example.org/milletvane/internal/reactor"
+)
+
+// Poster takes events for the engine.
+type Poster interface {
+	Post(engine.Event)
+}
+
+// Options are what a Backend goes by. Operator settings of the same names say more.
+type Options struct {
+	ConnectTimeout time.Duration // 0: as long as the attempt has
+	NodePort       int           // 0: the listed one
+	Limits         codec.Limits
+	PingEvery      time.Duration
+	Pending        int // bytes that a session may hold while it is set up
+	MaxShared      int
+	Name           string // the gateway's, in the inboxes of requests
+}
+
+// Backend starts attempts for sessions and requests.
+type Backend struct {
+	options Options
+	events  Poster
+	conns   *reactor.Group
+	hubs    hubs
+}
+
+// New returns a Backend. Connect comes before the first Send.
+func New(o Options) *Backend { return &Backend{options: o} }
+
+// Connect sets where events go and which loops carry the connections.
+func (b *Backend) Connect(events Poster, conns *reactor.Group) { b.events, b.conns = events, conns }
+
+// Limits bound the frames of nodes.
+func (b *Backend) Limits() codec.Limits { return b.options.Limits }
+
+// Handles reports whether an attempt is one of this protocol's.
+func (b *Backend) Handles(a engine.Attempt) bool {
+	switch a.Client.(type) {
+	case Owner, Asker:
+		return true
+	}
+	return false
+}
+
+// Send implements engine.Backend. It does not wait.
+func (b *Backend) Send(a engine.Attempt) engine.Link {
+	if asker, ok := a.Client.(Asker); ok {
+		t := &Try{backend: b, attempt: a, asker: asker}
+		asker.Conn().Do(t.start)
+		return t
+	}
+	return b.dial(a, a.Client.(Owner))
+}
+
+// addr is where a node speaks NATS.
+func (b *Backend) addr(listed string) string {
+	if b.options.NodePort == 0 {
+		return listed
+	}
+	host, _, err := net.SplitHostPort(listed)
+	if err != nil {
+		return listed
+	}
+	return net.JoinHostPort(host, strconv.Itoa(b.options.NodePort))
+}
--- /dev/null
+++ b/internal/nats/backend/leg.go
@@ -0,0 +1,431 @@
+package backend
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"example.org/milletvane/internal/engine"
+	"example.org/milletvane/internal/nats/codec"
+	"example.org/milletvane/internal/reactor"
+	"example.org/milletvane/rules"
+)
+
+// Owner is a session's place at a node, as an attempt's client. But for the engine's methods, all are called on the loop of
+// Conn.
+type Owner interface {
+	engine.Client
+	Conn() *reactor.Conn
+	// Opening appends CONNECT and all subscriptions.
+	Opening(b []byte) []byte
+	// Informed brings each INFO of the node.
+	Informed(*Leg, codec.ServerInfo)
+	// Stands says that the node has confirmed the opening.
+	Stands(*Leg)
+	// Message shows a message; true lets it pass with Relay.
+	Message(*Leg, *codec.Frame) bool
+	// Relay passes frames on as they stand.
+	Relay(l *Leg, frames []byte)
+	// Said brings a -ERR that leaves the connection as it is.
+	Said(l *Leg, raw []byte)
+	// Denied says that the node turned the client away for who it is.
+	Denied(l *Leg, text []byte)
+	// Ended says that a leg that stood is gone, by the node's doing.
+	Ended(*Leg)
+}
+
+type phase uint8
+
+const (
+	dialing phase = iota
+	opening       // the opening is out, or waits for the node's INFO
+	up
+	over
+)
+
+// Leg is a session's connection to a node, or one shared by requests.
+type Leg struct {
+	backend *Backend
+	attempt engine.Attempt // of a session's leg
+	owner   Owner          // nil: it is shared
+	shared  *sharedState
+	hub     *Hub
+	started time.Time
+
+	mu    sync.Mutex // guards the phase; never held while writing or posting
+	phase phase
+	conn  *reactor.Conn
+
+	asked atomic.Int64 // when the oldest PING without PONG went out, in nanoseconds since started plus one; 0: none
+
+	// The loop alone uses these.
+	info   bool   // the first INFO is in
+	pings  []ping // what each PONG to come is for
+	pinger *Timer
+	tries  map[string]*Try
+	sids   int
+	paused bool
+}
+
+// ping is a PING that is out.
+type ping struct {
+	then   func() // nil: nothing
+	client bool   // a client waits for its PONG
+}
+
+// sidMark begins the subscription ids of the gateway's own. Clients may not use it.
+const sidMark = '!'
+
+// OwnSID reports whether a subscription id is one that only gateways use.
+func OwnSID(sid []byte) bool { return len(sid) > 0 && sid[0] == sidMark }
+
+func (b *Backend) dial(a engine.Attempt, o Owner) *Leg {
+	l := &Leg{backend: b, attempt: a, owner: o, hub: b.Hub(o.Conn()), started: time.Now()}
+	wait := a.Wait
+	if t := b.options.ConnectTimeout; t > 0 {
+		wait = min(wait, t)
+	}
+	l.mu.Lock() // the loop may be done with the dialing before conn is set
+	defer l.mu.Unlock()
+	l.conn = b.conns.Dial(b.addr(a.Addr), wait, l, o.Conn())
+	return l
+}
+
+// Conn is the leg's connection.
+func (l *Leg) Conn() *reactor.Conn { return l.conn }
+
+// Server is the node's number.
+func (l *Leg) Server() rules.ServerID { return l.attempt.Server }
+
+// Up reports whether the leg stands. The loop alone may rely on it.
+func (l *Leg) Up() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.phase == up
+}
+
+// Abandon implements engine.Link.
+func (l *Leg) Abandon() bool {
+	l.mu.Lock()
+	if l.phase >= up {
+		l.mu.Unlock()
+		return false
+	}
+	l.phase = over
+	l.mu.Unlock()
+	l.conn.Abort(false)
+	return true
+}
+
+// Waiting implements engine.Link: for how long the node has not answered a PING.
+func (l *Leg) Waiting() time.Duration {
+	if at := l.asked.Load(); at > 0 {
+		return max(time.Since(l.started)-time.Duration(at), 0)
+	}
+	return 0
+}
+
+// finish ends a leg that does not stand, once.
+func (l *Leg) finish(result rules.Result) {
+	l.mu.Lock()
+	if l.phase >= up {
+		l.mu.Unlock()
+		return
+	}
+	l.phase = over
+	l.mu.Unlock()
+	l.conn.Abort(false)
+	if l.owner != nil {
+		l.backend.events.Post(engine.Ended{Request: l.attempt.Request, Number: l.attempt.Number, Result: result})
+	} else {
+		l.fall(rules.ConnectFailed)
+	}
+}
+
+// End ends the leg after all that was sent has been written, and tells nobody but its requests.
+func (l *Leg) End() {
+	l.mu.Lock()
+	was := l.phase
+	l.phase = over
+	l.mu.Unlock()
+	if was != over {
+		l.conn.Close()
+		l.fall(rules.Reset)
+	}
+}
+
+// GiveUp ends a leg that does not stand, for a reason that is not the node's.
+func (l *Leg) GiveUp() { l.finish(rules.Cancelled) }
+
+// broken is the end of a leg that stands by the node's doing.
+func (l *Leg) broken() {
+	l.mu.Lock()
+	was := l.phase
+	l.phase = over
+	l.mu.Unlock()
+	if was != up {
+		return
+	}
+	l.conn.Abort(false)
+	l.fall(rules.Reset)
+	if l.owner != nil {
+		l.backend.events.Post(engine.Ended{Request: l.attempt.Request, Number: l.attempt.Number, Result: rules.Reset})
+		l.owner.Ended(l)
+	}
+}
+
+// fall ends what hangs on the leg.
+func (l *Leg) fall(result rules.Result) {
+	l.hub.Cancel(l.pinger)
+	tries := l.tries
+	l.tries = nil
+	for _, t := range tries {
+		t.finish(result)
+	}
+	if l.shared != nil {
+		l.shared.fall(l, result)
+	}
+}
+
+// Tries is the number of requests that are out on the leg.
+func (l *Leg) Tries() int { return len(l.tries) }
+
+// OnOpen implements reactor.Handler. The node speaks first.
+func (l *Leg) OnOpen(_ *reactor.Conn, err error) {
+	if err != nil {
+		l.finish(rules.ConnectFailed)
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.phase == dialing {
+		l.phase = opening
+	}
+}
+
+// OnEnd implements reactor.Handler.
+func (l *Leg) OnEnd(c *reactor.Conn, _ error) {
+	l.mu.Lock()
+	at := l.phase
+	l.mu.Unlock()
+	switch {
+	case at == up:
+		l.broken()
+	case !l.info || c.Waiting() > 0:
+		l.finish(rules.ConnectFailed) // the opening is not out
+	default:
+		l.finish(rules.Reset)
+	}
+}
+
+// OnData implements reactor.Handler. Messages that pass are relayed in runs, as they stand.
+func (l *Leg) OnData(_ *reactor.Conn, b []byte) int {
+	taken, from := 0, 0
+	flush := func() {
+		if from < taken {
+			l.owner.Relay(l, b[from:taken])
+		}
+	}
+	for taken < len(b) {
+		f, n, err := codec.Parse(b[taken:], l.backend.options.Limits)
+		if err != nil {
+			flush()
+			l.finish(rules.Errored)
+			l.broken()
+			return len(b)
+		}
+		if n == 0 {
+			break
+		}
+		pass := false
+		if f.Op == codec.Msg || f.Op == codec.HMsg {
+			switch {
+			case OwnSID(f.SID):
+				flush()
+				from = taken
+				l.replied(&f)
+			case l.owner != nil:
+				pass = l.owner.Message(l, &f)
+			}
+		}
+		if !pass {
+			flush()
+			from = taken + n
+			l.handle(&f)
+		}
+		taken += n
+		if l.paused || l.conn.Closed() {
+			break
+		}
+	}
+	flush()
+	return taken
+}
+
+// handle takes a frame that is no message.
+func (l *Leg) handle(f *codec.Frame) {
+	switch f.Op {
+	case codec.Ping:
+		l.conn.Send([]byte(codec.PongFrame))
+	case codec.Pong:
+		l.pong()
+	case codec.Info:
+		info, err := codec.ParseInfo(f.Body)
+		if err != nil {
+			l.finish(rules.Errored)
+			l.broken()
+			return
+		}
+		l.informed(info)
+	case codec.Err:
+		l.said(f)
+	}
+}
+
+func (l *Leg) informed(info codec.ServerInfo) {
+	first := !l.info
+	l.info = true
+	if l.owner != nil {
+		l.owner.Informed(l, info)
+	}
+	if !first {
+		if info.LameDuck && l.owner != nil {
+			l.backend.events.Post(engine.Leaving{Request: l.attempt.Request})
+		}
+		return
+	}
+	if info.LameDuck { // it would turn the session away as soon as it is set up
+		l.finish(rules.Full)
+		return
+	}
+	// All of it in one write: the PONG confirms what stands before the PING.
+	var b []byte
+	if l.owner != nil {
+		b = l.owner.Opening(nil)
+	} else {
+		b = l.shared.opening
+	}
+	l.conn.Send(b, []byte(codec.PingFrame))
+	l.await(ping{then: l.stands})
+}
+
+// await notes what the next PING's answer is for.
+func (l *Leg) await(p ping) {
+	if len(l.pings) == 0 {
+		l.asked.Store(int64(time.Since(l.started)) + 1)
+	}
+	l.pings = append(l.pings, p)
+}
+
+// Ping asks the node; then is called at its answer, behind all that the node sent before it. nil: nothing is.
+func (l *Leg) Ping(then func()) {
+	l.conn.Send([]byte(codec.PingFrame))
+	l.await(ping{then: then})
+}
+
+// PingFor is Ping on a client's behalf.
+func (l *Leg) PingFor(then func()) {
+	l.conn.Send([]byte(codec.PingFrame))
+	l.await(ping{then, true})
+}
+
+// Owed is how many of the PINGs that are out clients wait for.
+func (l *Leg) Owed() (n int) {
+	for _, p := range l.pings {
+		if p.client {
+			n++
+		}
+	}
+	return n
+}
+
+func (l *Leg) pong() {
+	if len(l.pings) == 0 {
+		return
+	}
+	then := l.pings[0].then
+	l.pings = l.pings[1:]
+	if len(l.pings) == 0 {
+		l.asked.Store(0)
+	} else {
+		l.asked.Store(int64(time.Since(l.started)) + 1) // it answers, if late
+	}
+	if then != nil {
+		then()
+	}
+}
+
+// stands is called when the opening is confirmed.
+func (l *Leg) stands() {
+	l.mu.Lock()
+	if l.phase != opening {
+		l.mu.Unlock()
+		return
+	}
+	l.phase = up
+	l.mu.Unlock()
+	l.keepAsking()
+	if l.owner == nil {
+		l.shared.stands(l)
+		return
+	}
+	l.backend.events.Post(engine.Up{Request: l.attempt.Request, Number: l.attempt.Number, Elapsed: time.Since(l.started)})
+	l.owner.Stands(l)
+}
+
+// hungAfter is when a shared leg's node is taken to hang.
+const hungAfter = 4 * time.Second
+
+// keepAsking has a PING out now and then, so that a node that hangs is found.
+func (l *Leg) keepAsking() {
+	l.pinger = l.hub.After(l.backend.options.PingEvery, func() {
+		if len(l.pings) == 0 {
+			l.Ping(nil)
+		}
+		if l.owner == nil && l.Waiting() > hungAfter {
+			l.broken() // the engine looks after those of sessions
+			return
+		}
+		l.keepAsking()
+	})
+}
+
+func (l *Leg) said(f *codec.Frame) {
+	text := bytes.Trim(f.Body, "'")
+	lower := strings.ToLower(string(text))
+	switch {
+	case strings.HasPrefix(lower, "permissions violation"), strings.HasPrefix(lower, "invalid subject"),
+		strings.HasPrefix(lower, "invalid publish subject"):
+		if l.owner != nil { // the node keeps the connection open
+			l.owner.Said(l, f.Raw)
+		}
+	case strings.HasPrefix(lower, "authorization"), strings.HasPrefix(lower, "authentication"),
+		strings.HasPrefix(lower, "user authentication"), strings.HasPrefix(lower, "account authentication"):
+		if l.owner != nil {
+			l.owner.Denied(l, text)
+			return
+		}
+		l.finish(rules.Errored)
+		l.broken()
+	case strings.HasPrefix(lower, "maximum connections"), strings.HasPrefix(lower, "server shutdown"):
+		l.finish(rules.Full)
+		l.broken()
+	default:
+		l.finish(rules.Errored)
+		l.broken()
+	}
+}
+
+// Pause leaves the leg unread behind the frame that is being handled; Resume reads on.
+func (l *Leg) Pause() {
+	l.paused = true
+	l.conn.Pause()
+}
+
+// Resume implements what Pause says.
+func (l *Leg) Resume() {
+	l.paused = false
+	l.conn.Resume()
+}
--- a/internal/nats/codec/status.go
+++ b/internal/nats/codec/status.go
@@ -57,6 +57,7 @@
 	StatusNoResponders = 503
 	StatusTimeout      = 408
 	StatusRefused      = 429
+	StatusFailed       = 500
 )
 
 // AppendStatus appends the headers of a status: NATS/1.0 with the code and, if there are, words, and when to come again.
--- /dev/null
+++ b/internal/nats/front/ask.go
@@ -0,0 +1,173 @@
+package front
+
+import (
+	"bytes"
+	"time"
+
+	"example.org/milletvane/config/operator"
+	"example.org/milletvane/internal/engine"
+	"example.org/milletvane/internal/nats/backend"
+	"example.org/milletvane/internal/nats/codec"
+	"example.org/milletvane/internal/reactor"
+	"example.org/milletvane/rules"
+)
+
+// ask is a request of a session's: a message with a reply subject on a subject of a class. The engine holds it as a client
+// of its own.
+type ask struct {
+	ticket  engine.Ticket
+	session *Session
+	subject []byte
+	reply   []byte
+	body    []byte
+	headers int
+	until   time.Time
+}
+
+var _ backend.Asker = (*ask)(nil)
+
+// asked takes a message for a request; it returns false where it is a plain one. Only a request whose reply reaches the
+// client itself can be followed.
+func (s *Session) asked(f *codec.Frame) bool {
+	if len(f.Reply) == 0 {
+		return false
+	}
+	r := s.request(f.Subject)
+	if r == nil || s.subs.For(f.Reply) == nil {
+		return false
+	}
+	n := len(f.Subject) + len(f.Reply)
+	copied := make([]byte, 0, n+len(f.Body))
+	copied = append(append(append(copied, f.Subject...), f.Reply...), f.Body...)
+	a := &ask{session: s, subject: copied[:len(f.Subject):len(f.Subject)], reply: copied[len(f.Subject):n:n], body: copied[n:],
+		headers: f.Headers, until: time.Now().Add(r.Deadline)}
+	if s.leaving || len(s.asks) >= s.front.settings.MaxRequests {
+		a.status(codec.StatusRefused, "Too Many Requests", 0)
+		return true
+	}
+	if s.asks == nil {
+		s.asks = map[*ask]struct{}{}
+	}
+	s.asks[a] = struct{}{}
+	key := s.key
+	switch r.Key.What {
+	case "user":
+		key = s.options.User
+	case "token":
+		key = string(codec.Token(f.Subject, r.Key.Token))
+	}
+	if key == "" {
+		key = s.key
+	}
+	s.front.engine.Post(engine.Asked{Client: a, Request: engine.Request{
+		Class: r.Class, Tenant: s.options.User, Key: key, Wait: r.Deadline,
+	}})
+	return true
+}
+
+// request is the class of requests on a subject; nil: it has none.
+func (s *Session) request(subject []byte) *operator.Request {
+	for i := range s.front.settings.Requests {
+		if r := &s.front.settings.Requests[i]; codec.Match([]byte(r.Subject), subject) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Slot implements engine.Client.
+func (a *ask) Slot() *engine.Ticket { return &a.ticket }
+
+// Conn implements backend.Asker.
+func (a *ask) Conn() *reactor.Conn { return a.session.conn }
+
+// Refuse implements engine.Client.
+func (a *ask) Refuse(after time.Duration) {
+	a.Conn().Do(func() { a.final(codec.StatusRefused, "Refused", after) })
+}
+
+// Fail implements engine.Client.
+func (a *ask) Fail() { a.Conn().Do(func() { a.final(codec.StatusFailed, "Failed", 0) }) }
+
+// Close implements engine.Client. The engine closes only what asked for nothing or was not moved, which a request never is.
+func (a *ask) Close() { a.Fail() }
+
+// Move implements engine.Client. A request is never open in the engine's sense.
+func (a *ask) Move() time.Duration { return 0 }
+
+// final gives the request an answer of the gateway's making.
+func (a *ask) final(code int, words string, after time.Duration) {
+	if !a.finish() {
+		return
+	}
+	if !time.Now().Before(a.until) {
+		code, words, after = codec.StatusTimeout, "Request Timeout", 0
+	}
+	a.status(code, words, after)
+}
+
+// finish takes the request off its session; it returns false where it was already, or the client is gone.
+func (a *ask) finish() bool {
+	s := a.session
+	if _, there := s.asks[a]; !there {
+		return false
+	}
+	delete(s.asks, a)
+	return true
+}
+
+// status writes an answer of the gateway's making. A client that reads no headers gets them as the payload.
+func (a *ask) status(code int, words string, after time.Duration) {
+	b := codec.AppendStatus(nil, code, words, after)
+	a.deliver(nil, len(b), b)
+}
+
+func (a *ask) deliver(reply []byte, headers int, body []byte) {
+	s := a.session
+	sub := s.subs.For(a.reply)
+	if sub == nil || !s.subs.Give([]byte(sub.SID)) {
+		return // the client wants it no more
+	}
+	if sub.Max > 0 && sub.Given >= sub.Max && s.cur != nil { // the node did not see this one
+		s.cur.leg.Conn().Send(codec.AppendUnsub(nil, []byte(sub.SID), 0))
+	}
+	if !s.options.Headers && headers > 0 {
+		if rest := body[headers:]; len(rest) > 0 {
+			body = rest // the answer is a node's: its headers are nothing to such a client
+		}
+		headers = 0
+	}
+	s.conn.Send(codec.AppendMsg(make([]byte, 0, 128), a.reply, []byte(sub.SID), reply, headers, len(body)), body, []byte("\r\n"))
+}
+
+// Leg implements backend.Asker.
+func (a *ask) Leg(server rules.ServerID) *backend.Leg {
+	p := a.session.cur
+	if p == nil || p.handing || p.quits || !p.leg.Up() || p.leg.Server() != server {
+		return nil
+	}
+	return p.leg
+}
+
+// Identity implements backend.Asker.
+func (a *ask) Identity() []byte {
+	s := a.session
+	if s.identity == nil {
+		s.identity = bytes.Clone(s.opening(nil))
+	}
+	return s.identity
+}
+
+// Publication implements backend.Asker.
+func (a *ask) Publication() (subject, body []byte, headers int) { return a.subject, a.body, a.headers }
+
+// Withdrawn implements backend.Asker.
+func (a *ask) Withdrawn() { a.session.settle() }
+
+// Answered implements backend.Asker.
+func (a *ask) Answered(f *codec.Frame) {
+	if a.finish() {
+		a.deliver(f.Reply, f.Headers, f.Body)
+	}
+	a.session.settle()
+}
--- /dev/null
+++ b/internal/nats/front/place.go
@@ -0,0 +1,166 @@
+package front
+
+import (
+	"time"
+
+	"example.org/milletvane/internal/engine"
+	"example.org/milletvane/internal/nats/backend"
+	"example.org/milletvane/internal/nats/codec"
+	"example.org/milletvane/internal/reactor"
+)
+
+// place is a session's place at one node: to the engine it is a client of its own, so that a session that moves holds two
+// for a while.
+type place struct {
+	ticket  engine.Ticket
+	session *Session
+	leg     *backend.Leg // the present attempt's, once it is informed of its node
+	gone    bool         // the engine holds it no more
+	quits   bool         // its node leaves
+	handing bool         // asked to hand over what it has queued; nothing new goes there
+	handed  bool
+}
+
+var _ backend.Owner = (*place)(nil)
+var _ engine.Mover = (*place)(nil)
+
+// Slot implements engine.Client.
+func (p *place) Slot() *engine.Ticket { return &p.ticket }
+
+// Conn implements backend.Owner.
+func (p *place) Conn() *reactor.Conn { return p.session.conn }
+
+// Refuse implements engine.Client.
+func (p *place) Refuse(after time.Duration) {
+	p.Conn().Do(func() { p.session.turnedAway(p, after) })
+}
+
+// Fail implements engine.Client.
+func (p *place) Fail() { p.Conn().Do(func() { p.session.turnedAway(p, 0) }) }
+
+// Close implements engine.Client: it asked for nothing in time, or was not moved in time.
+func (p *place) Close() {
+	p.Conn().Do(func() {
+		s := p.session
+		p.gone = true
+		if p == s.cur || p == s.next && s.phase != open {
+			s.close(wordStale)
+		} else if p == s.old {
+			p.leave()
+			s.old = nil
+		}
+	})
+}
+
+// Move implements engine.Client.
+func (p *place) Move() time.Duration {
+	p.Conn().Do(func() {
+		if s := p.session; s.front.leaving.Load() {
+			s.leave()
+		} else {
+			s.quit(p)
+		}
+	})
+	n := &p.session.front.settings
+	return n.MoveWithin + n.FlushWithin
+}
+
+// ServerLeaves implements engine.Mover.
+func (p *place) ServerLeaves() { p.Conn().Do(func() { p.session.quit(p) }) }
+
+// leave gives the place up.
+func (p *place) leave() {
+	if p.leg != nil {
+		p.leg.End()
+	}
+	if !p.gone {
+		p.gone = true
+		p.session.front.engine.Post(engine.Left{Client: p})
+	}
+}
+
+// Opening implements backend.Owner. What was held for an attempt that failed is void.
+func (p *place) Opening(b []byte) []byte {
+	s := p.session
+	s.held = nil
+	if s.cur != nil {
+		// What the client subscribes to from here on must not go to the old node alone.
+		s.conn.Pause()
+		if s.front.settings.Cluster {
+			s.twice.Begin()
+		}
+	}
+	return s.subs.AppendAll(s.opening(b))
+}
+
+// Informed implements backend.Owner.
+func (p *place) Informed(l *backend.Leg, info codec.ServerInfo) {
+	s := p.session
+	p.leg = l
+	s.front.lower(info.MaxPayload)
+	if least := int(s.front.payload.Load()); least < s.told && s.phase != over {
+		s.told = least
+		s.conn.Send(s.front.info(s.id))
+	}
+}
+
+// Stands implements backend.Owner.
+func (p *place) Stands(l *backend.Leg) {
+	s := p.session
+	if s.phase == over || p != s.next {
+		l.End()
+		return
+	}
+	s.stands(p)
+}
+
+// heldTimes is how many times what may wait for a client is held of a node whose set-up is not confirmed.
+const heldTimes = 16
+
+// Message implements backend.Owner.
+func (p *place) Message(l *backend.Leg, f *codec.Frame) bool {
+	s := p.session
+	switch {
+	case s.phase == over:
+		return false
+	case p == s.next:
+		if len(s.held)+len(f.Raw) > heldTimes*s.front.settings.MaxPending {
+			l.GiveUp()
+			return false
+		}
+		s.held = append(s.held, f.Raw...)
+		return false
+	case p != s.cur && !p.handing:
+		return false
+	}
+	return s.give(p, f)
+}
+
+// Relay implements backend.Owner.
+func (p *place) Relay(l *backend.Leg, frames []byte) {
+	if s := p.session; s.phase != over {
+		s.conn.SendFrom(l.Conn(), frames)
+	}
+}
+
+// Said implements backend.Owner.
+func (p *place) Said(_ *backend.Leg, raw []byte) {
+	if s := p.session; s.phase == open && p == s.cur {
+		s.conn.Send(raw)
+	}
+}
+
+// Denied implements backend.Owner. The word is the node's own.
+func (p *place) Denied(_ *backend.Leg, text []byte) {
+	if s := p.session; p == s.cur || p == s.next {
+		s.close(string(text))
+	}
+}
+
+// Ended implements backend.Owner. The engine has word of it, and holds the place no more.
+func (p *place) Ended(l *backend.Leg) {
+	p.gone = true
+	if s := p.session; s.phase != over {
+		s.lost(p)
+	}
+}
--- a/internal/reactor/conn.go
+++ b/internal/reactor/conn.go
@@ -37,10 +37,12 @@
 	closed   bool
 	closing  bool   // once all is written
 	want     uint32 // what is watched for
-	paused   bool
+	paused   uint8  // for what reasons
+	hung     bool   // while paused
 	out      []byte // waits for the peer
 	taken    int    // of out
 	stall    *time.Timer
+	high     int     // over this much out, sources are left unread; 0: highWater
 	queued   int     // in the kernel, at the last look for a stall
 	sources  []*Conn // unread until out is short again
 	deadline *time.Timer
@@ -152,8 +154,11 @@
 
 // watch changes what is watched for.
 func (c *Conn) watch(events uint32) {
-	if c.paused {
-		events &^= unix.EPOLLIN | unix.EPOLLRDHUP
+	if c.paused != 0 {
+		events &^= unix.EPOLLIN
+		if c.hung {
+			events &^= unix.EPOLLRDHUP // told; it would be told on and on
+		}
 	}
 	if c.listed && events != c.want {
 		c.want = events
@@ -175,7 +180,7 @@
 // ready is called by the loop.
 func (c *Conn) ready(events uint32) {
 	c.mu.Lock()
-	dialing, closing, paused := c.dialing, c.closing, c.paused
+	dialing, closing, paused := c.dialing, c.closing, c.paused != 0
 	c.mu.Unlock()
 	if dialing {
 		c.connected(nil)
@@ -196,6 +201,14 @@
 	case events&(unix.EPOLLERR|unix.EPOLLHUP) != 0:
 		// Left unread, but gone: there is no peer to keep it for.
 		c.end(unix.ECONNRESET)
+	case events&unix.EPOLLRDHUP != 0:
+		c.mu.Lock()
+		c.hung = true
+		c.rewatch()
+		c.mu.Unlock()
+		if h, ok := c.handler.(Hanger); ok {
+			h.OnHangup(c)
+		}
 	}
 }
 
@@ -247,7 +260,7 @@
 		n := c.handler.OnData(c, b[taken:])
 		taken += n
 		c.mu.Lock()
-		stop := c.paused || c.closed || c.closing
+		stop := c.paused != 0 || c.closed || c.closing
 		c.mu.Unlock()
 		if n == 0 || stop {
 			break
@@ -311,13 +324,13 @@
 		c.armStall()
 	}
 	var pause *Conn
-	if source != nil && len(c.out)-c.taken > highWater {
+	if source != nil && len(c.out)-c.taken > max(c.high, highWater) {
 		pause = source
 		c.sources = append(c.sources, source)
 	}
 	c.mu.Unlock()
 	if pause != nil {
-		pause.Pause()
+		pause.pause(crowded)
 	}
 	return nil
 }
@@ -402,7 +415,7 @@
 	}
 	c.mu.Unlock()
 	for _, s := range resume {
-		s.Resume()
+		s.resume(crowded)
 	}
 }
 
@@ -431,6 +444,14 @@
 	}
 }
 
+// SetPending sets how many bytes may wait for the peer before what sends to it is left unread. The default is 64 KiB, and
+// the least.
+func (c *Conn) SetPending(most int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.high = most
+}
+
 // Waiting is how many bytes wait for the peer to read.
 func (c *Conn) Waiting() int {
 	c.mu.Lock()
@@ -438,42 +459,56 @@
 	return len(c.out) - c.taken
 }
 
+// Reasons to leave a connection unread. Each is taken back by itself.
+const (
+	asked   uint8 = 1 << iota // by Pause
+	crowded                   // by what waits at the connection that it sends to
+)
+
 // Pause leaves the connection unread from the end of the handler's call on.
-func (c *Conn) Pause() {
+func (c *Conn) Pause() { c.pause(asked) }
+
+// Resume has it read again, what was not taken first.
+func (c *Conn) Resume() { c.resume(asked) }
+
+func (c *Conn) pause(why uint8) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.closed && !c.paused {
-		c.paused = true
-		if !c.dialing {
-			c.rewatch()
-		}
+	was := c.paused
+	c.paused |= why
+	if !c.closed && was == 0 && !c.dialing {
+		c.rewatch()
 	}
 }
 
-// Resume has it read again, what was not taken first.
-func (c *Conn) Resume() {
+func (c *Conn) resume(why uint8) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || !c.paused {
+	if c.closed || c.paused&why == 0 {
 		return
 	}
-	c.paused = false
-	c.loop.post(func() {
-		if b := c.in; len(b) > 0 {
-			c.mu.Lock()
-			stop := c.paused || c.closed
-			c.mu.Unlock()
-			if stop {
-				return
-			}
-			c.show(b)
-		}
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		if !c.closed && !c.dialing {
-			c.rewatch()
-		}
-	})
+	if c.paused &^= why; c.paused == 0 {
+		c.hung = false
+		c.loop.post(c.readOn)
+	}
+}
+
+// readOn shows what was not taken, and has the connection watched again.
+func (c *Conn) readOn() {
+	c.mu.Lock()
+	stop := c.paused != 0 || c.closed || c.closing
+	c.mu.Unlock()
+	if stop {
+		return
+	}
+	if len(c.in) > 0 {
+		c.show(c.in)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.closed && !c.dialing {
+		c.rewatch()
+	}
 }
 
 // Close ends the connection in order once all that was sent has been written.
@@ -521,11 +556,14 @@
 	c.out, c.taken = nil, 0
 	for _, s := range c.sources {
 		// It must find its peer gone, not wait for it.
-		c.loop.post(s.Resume)
+		c.loop.post(func() { s.resume(crowded) })
 	}
 	c.sources = nil
 }
 
+// Loop is the connection's loop.
+func (c *Conn) Loop() *Loop { return c.loop }
+
 // Do has the connection's loop call f soon, unless the group is closed. It is for what may wait where the caller may not.
 func (c *Conn) Do(f func()) { c.loop.post(f) }
 
--- a/internal/reactor/reactor.go
+++ b/internal/reactor/reactor.go
@@ -36,6 +36,10 @@
 	OnEnd(c *Conn, err error)
 }
 
+// Hanger is a Handler that wants to know when the peer of a paused connection has ended its side: what it sent before is
+// still to be read. It is told once.
+type Hanger interface{ OnHangup(c *Conn) }
+
 // Errors that OnEnd and OnOpen bring besides the system's own.
 var (
 	ErrStalled = errors.New("reactor: peer does not read")
@@ -73,6 +77,12 @@
 	woken bool
 }
 
+// Loop is what carries a connection: whatever is called by one loop is called one at a time.
+type Loop = loop
+
+// Post has the loop call f soon, unless the group is closed.
+func (l *loop) Post(f func()) { l.post(f) }
+
 // entry is a numbered slot of an epoll set. Its generation tells a late event for a descriptor that is closed.
 type entry struct {
 	source source
