Run the engine from outside it, reload operator settings whole, and cause NATS's hard cases

Need: what decides must read no clock and hold no socket, and the hard cases of NATS each want a test that causes it.

SIGHUP takes operator settings whole, or leaves the running ones with the key named. The frame that is handled is one a loop, where it was allocated for each.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,16 +4,18 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"math"
-	"reflect"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"example.org/milletvane/config"
 	"example.org/milletvane/config/operator"
 	"example.org/milletvane/internal/discovery"
+	"example.org/milletvane/internal/drive"
 	"example.org/milletvane/internal/engine"
 	"example.org/milletvane/internal/line/backend"
 	"example.org/milletvane/internal/line/front"
@@ -28,10 +30,11 @@
 type Gateway struct {
 	config  config.Config
 	logger  *slog.Logger
-	engine  *engine.Engine
+	engine  *drive.Driver
 	lines   *backend.Backend
 	nats    *natsbackend.Backend // nil: off
 	nat     *operator.NATS
+	front   atomic.Pointer[natsfront.Front] // while it runs
 	watcher *discovery.Watcher
 }
 
@@ -68,17 +71,14 @@
 	for i, class := range c.Rules.Classes {
 		classes[i] = class.Name
 	}
-	g.engine = engine.New(engine.Options{
+	g.engine = drive.New(engine.New(engine.Options{
 		Sockets: c.Limits.ForClients(), Openings: c.Limits.Idle(), Classes: classes, RetryAfter: c.Rules.MaxRetryAfter, DefaultWait: c.Node.LongestWait, AnswerSlack: c.Node.AnswerSlack,
 		Pass: c.Node.Pass, TellsDelay: c.Node.TellsDelay, MessageAim: c.Node.MessageAim, Probes: c.Node.Probes, Drain: c.Drain,
 		Logger: g.logger,
-	}, balancer, g, g.watcher, attempts)
+	}, balancer, g, g.watcher, attempts))
 	g.lines = attempts
 	if n := g.nat; n != nil {
-		g.nats = natsbackend.New(natsbackend.Options{
-			ConnectTimeout: c.Node.ConnectTimeout, NodePort: n.NodePort, PingEvery: n.PingEvery, Pending: n.MaxPending,
-			MaxShared: n.MaxShared, Name: c.Name, Limits: codec.Limits{Payload: max(n.MaxPayload, nodePayload)},
-		})
+		g.nats = natsbackend.New(g.natsOptions(n))
 	}
 	g.watcher.Connect(g.engine.Post)
 	return g, nil
@@ -95,16 +95,45 @@
 	return g.lines.Send(a)
 }
 
-// Reload goes over to a new configuration while Run serves: discovery's new address is asked at once. All else
+// Reload goes over to a new configuration while Run serves: discovery's new address is asked at once, and operator settings
+// are taken whole; with an error nothing is taken. All else
 // is fixed for a gateway's life; where the new configuration has another value for it, the log says so. Reload
 // may be called at any time and from any goroutine.
-func (g *Gateway) Reload(c config.Config, op *operator.Settings) {
-	kept := g.config.FixedChanges(&c)
-	if op != nil && !reflect.DeepEqual(op.NATS, g.nat) || op == nil && g.nat != nil {
-		kept = append(kept, "operator.nats")
+func (g *Gateway) Reload(c config.Config, op *operator.Settings) error {
+	var nat *operator.NATS
+	if op != nil {
+		nat = op.NATS
 	}
-	g.logger.Info("reloaded", "discovery", c.Discovery, "kept", kept)
+	if err := g.reloadNATS(nat); err != nil {
+		return err
+	}
+	g.logger.Info("reloaded", "discovery", c.Discovery, "kept", g.config.FixedChanges(&c))
 	g.watcher.SetAddr(c.Discovery)
+	return nil
+}
+
+// reloadNATS takes new settings whole or not at all: what is fixed for a gateway's life must be the same in them.
+func (g *Gateway) reloadNATS(n *operator.NATS) error {
+	switch {
+	case n == nil && g.nat == nil:
+		return nil
+	case n == nil || g.nat == nil:
+		return errors.New("nats: is switched on or off, which takes a new start")
+	case n.Listen != g.nat.Listen:
+		return fmt.Errorf("nats.listen: %q is not the address in use, %q; another takes a new start", n.Listen, g.nat.Listen)
+	}
+	g.nats.SetOptions(g.natsOptions(n))
+	if f := g.front.Load(); f != nil {
+		f.SetSettings(n)
+	}
+	return nil
+}
+
+func (g *Gateway) natsOptions(n *operator.NATS) natsbackend.Options {
+	return natsbackend.Options{
+		ConnectTimeout: g.config.Node.ConnectTimeout, NodePort: n.NodePort, PingEvery: n.PingEvery,
+		MaxShared: n.MaxShared, Name: g.config.Name, Limits: codec.Limits{Payload: max(n.MaxPayload, nodePayload)},
+	}
 }
 
 // Run serves until ctx is done, and then until what still comes has been answered. It returns an error where
@@ -127,6 +156,7 @@
 		if err != nil {
 			return err
 		}
+		g.front.Store(n)
 		defer n.Close()
 		defer context.AfterFunc(ctx, n.Leave)()
 		g.logger.Info("serving nats", "listen", n.Addr())
--- a/gateway/nats_test.go
+++ b/gateway/nats_test.go
@@ -358,14 +358,16 @@
 func TestNATSClientDropsInItsSetUp(t *testing.T) {
 	f := newFleet(t, 1, false, "")
 	f.connect().Close()
-	f.nodes[0].Stick(false)
-	f.nodes[0].Hang()
-	for range 20 {
+	f.nodes[0].Mute()
+	for i := range 20 {
 		c, err := net.Dial("tcp", f.addr)
 		if err != nil {
 			t.Fatal(err)
 		}
 		fmt.Fprint(c, "CONNECT {}\r\nSUB a 1\r\nPING\r\n")
+		if i%2 == 0 { // the others are gone before anything is sent
+			eventually(t, "it is half set up", func() bool { return f.nodes[0].Conns() > 0 })
+		}
 		c.Close()
 	}
 	eventually(t, "the node holds nothing", func() bool { return f.nodes[0].Conns() == 0 && f.nodes[0].Subs() == 0 })
@@ -452,3 +454,211 @@
 		t.Error("the client was not told")
 	}
 }
+
+// A node drains with messages queued for a client that does not read yet, and with requests out: all of it arrives, once.
+func TestNATSDrainWithMessagesQueued(t *testing.T) {
+	f := newFleet(t, 3, false, "")
+	f.connect().Close()
+	eventually(t, "the first is gone", func() bool { return f.nodes[0].Conns()+f.nodes[1].Conns()+f.nodes[2].Conns() == 0 })
+	c, err := net.Dial("tcp", f.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := newEnd(t, c)
+	e.line()
+	e.send("CONNECT {\"headers\":true}\r\nSUB stream.1 1\r\nSUB in.* 2\r\nPING\r\n")
+	e.expect("PONG\r\n")
+	at := f.holder()
+	f.nodes[at].Work(func(b []byte) ([]byte, time.Duration) { return b, 300 * time.Millisecond })
+	for i := range 5 {
+		e.send(fmt.Sprintf("PUB svc.safe.%d in.%d 2\r\nr%d\r\n", i, i, i))
+	}
+	eventually(t, "requests are out", func() bool { most, _, _ := f.cluster.Requests(); return most == 1 })
+	const n = 200
+	big := strings.Repeat("x", 20_000) // in all, more than any buffer on the way
+	for i := range n / 2 {
+		f.nodes[0].Publish("stream.1", []byte(fmt.Sprintf("%d %s", i, big)))
+	}
+	f.drain(at, true)
+	for i := n / 2; i < n; i++ {
+		f.nodes[(at+1)%3].Publish("stream.1", []byte(fmt.Sprintf("%d %s", i, big)))
+	}
+	time.Sleep(50 * time.Millisecond) // it reads only now
+	next, answers := 0, map[string]int{}
+	for next < n || len(answers) < 5 {
+		line := e.line()
+		var sid, size int
+		var subject string
+		if _, err := fmt.Sscanf(line, "MSG %s %d %d", &subject, &sid, &size); err != nil {
+			t.Fatalf("got %q", line)
+		}
+		body := strings.TrimSuffix(e.line(), "\r\n")
+		if sid == 2 {
+			answers[subject+body]++
+			continue
+		}
+		if want := fmt.Sprint(next, " "); !strings.HasPrefix(body, want) {
+			t.Fatalf("message %d came as %.10q", next, body)
+		}
+		next++
+	}
+	for i := range 5 {
+		if got := answers[fmt.Sprintf("in.%dr%d", i, i)]; got != 1 {
+			t.Errorf("request %d was answered %d times", i, got)
+		}
+	}
+}
+
+// A client that drops amid a move leaves nothing at either node.
+func TestNATSClientDropsAmidAMove(t *testing.T) {
+	f := newFleet(t, 2, false, "")
+	nc := f.connect()
+	for i := range 50 {
+		nc.Subscribe(fmt.Sprint("s.", i), func(*nats.Msg) {})
+	}
+	nc.Flush()
+	at := f.holder()
+	f.nodes[1-at].Mute() // the set-up there is never confirmed
+	f.drain(at, true)
+	eventually(t, "the set-up is half done", func() bool { return f.nodes[1-at].Subs() > 0 })
+	nc.Close()
+	eventually(t, "no node holds anything", func() bool {
+		return f.nodes[0].Conns()+f.nodes[0].Subs()+f.nodes[1].Conns()+f.nodes[1].Subs() == 0
+	})
+}
+
+// Where no other node can take a session, its client is told and closed.
+func TestNATSNoNodeLeft(t *testing.T) {
+	f := newFleet(t, 1, false, `(move-within "500ms")`)
+	f.connect().Close()
+	c, err := net.Dial("tcp", f.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := newEnd(t, c)
+	e.line()
+	e.send("CONNECT {}\r\nPING\r\n")
+	e.expect("PONG\r\n")
+	f.nodes[0].Kill()
+	e.expect("-ERR 'Stale Connection'\r\n")
+	e.ends()
+}
+
+// The largest payload passes both ways, an end that straddles a move holds, and one request id may be used twice.
+func TestNATSLargeAndLimited(t *testing.T) {
+	f := newFleet(t, 2, false, "")
+	nc := f.connect()
+	big := []byte(strings.Repeat("x", 1<<20))
+	sub, _ := nc.SubscribeSync("big")
+	few, _ := nc.SubscribeSync("few")
+	few.AutoUnsubscribe(5)
+	nc.Publish("big", big)
+	for range 3 {
+		nc.Publish("few", nil)
+	}
+	if m, err := sub.NextMsg(patience); err != nil || len(m.Data) != len(big) {
+		t.Fatalf("%v", err)
+	}
+	at := f.holder()
+	f.drain(at, true)
+	eventually(t, "it has moved", func() bool { return f.nodes[at].Conns() == 0 })
+	for range 5 {
+		f.nodes[1-at].Publish("few", nil)
+	}
+	nc.Flush()
+	for i := range 5 {
+		if _, err := few.NextMsg(patience); err != nil {
+			t.Fatalf("message %d of 5: %v", i, err)
+		}
+	}
+	if m, err := few.NextMsg(20 * time.Millisecond); err == nil {
+		t.Errorf("a message beyond the end: %v", m)
+	}
+	in, _ := nc.SubscribeSync("in")
+	for range 2 {
+		nc.PublishRequest("svc.safe.1", "in", []byte("same"))
+	}
+	for range 2 {
+		if m, err := in.NextMsg(patience); err != nil || string(m.Data) != "same" {
+			t.Errorf("%v, %v", m, err)
+		}
+	}
+	if m, err := in.NextMsg(20 * time.Millisecond); err == nil {
+		t.Errorf("a third answer: %v", m)
+	}
+}
+
+// BenchmarkNATSRelay is a round trip of one message by way of the gateway; nothing in it allocates.
+func BenchmarkNATSRelay(b *testing.B) {
+	s, err := standin.NewNATSEcho()
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer s.Close()
+	catalog, err := standin.NewCatalog(standin.Node{ID: "s-00000001", Addr: s.Addr(), State: standin.InService, Weight: 1})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer catalog.Close()
+	free := func() string {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer l.Close()
+		return l.Addr().String()
+	}
+	addr := free()
+	c, err := config.Parse([]byte(fmt.Sprintf(`{"listen":%q,"discovery":%q,"settings":%s}`, free(), catalog.Addr(), natsSettings)),
+		func(string) string { return "" })
+	if err != nil {
+		b.Fatal(err)
+	}
+	op, err := operator.Parse("bench", []byte(fmt.Sprintf(natsOperator, addr, "")), nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	g, err := gateway.New(*c, gateway.WithLogger(slog.New(slog.DiscardHandler)), gateway.WithOperator(op))
+	if err != nil {
+		b.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- g.Run(ctx) }()
+	defer func() { cancel(); <-done }()
+	var nc net.Conn
+	buf := make([]byte, 64<<10)
+	for {
+		if nc, err = net.Dial("tcp", addr); err != nil {
+			time.Sleep(time.Millisecond)
+			continue
+		}
+		fmt.Fprint(nc, "CONNECT {}\r\nSUB bench 1\r\nPING\r\n")
+		in := ""
+		for err == nil && !strings.HasSuffix(in, "PONG\r\n") {
+			var n int
+			n, err = nc.Read(buf)
+			in += string(buf[:n])
+		}
+		if err == nil {
+			break
+		}
+		nc.Close() // no list yet
+	}
+	defer nc.Close()
+	frame := []byte("PUB bench 128\r\n" + strings.Repeat("x", 128) + "\r\n")
+	answer := len("MSG bench 1 128\r\n") + 128 + 2
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := nc.Write(frame); err != nil {
+			b.Fatal(err)
+		}
+		for n := 0; n < answer; {
+			k, err := nc.Read(buf)
+			if err != nil {
+				b.Fatal(err)
+			}
+			n += k
+		}
+	}
+}
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -54,10 +54,12 @@
 				case <-hups:
 				}
 				// A fault in the new file must not end a program that serves.
-				if conf, op, err := load(c, getenv); err != nil {
+				conf, op, err := load(c, getenv)
+				if err == nil {
+					err = g.Reload(*conf, op)
+				}
+				if err != nil {
 					logger.Error("not reloaded, the old configuration stays", "err", err)
-				} else {
-					g.Reload(*conf, op)
 				}
 			}
 		}()
--- a/internal/engine/api.go
+++ b/internal/engine/api.go
@@ -158,6 +158,5 @@
 	MessageAim  time.Duration // the shortest wanted time of a message; 0: none stated
 	Probes      bool          // servers may be asked for their load
 	Drain       time.Duration // from Stop to the end
-	QueueEvents int           // events that may wait; 0 is taken as 4096
 	Logger      *slog.Logger
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -4,7 +4,6 @@
 package engine
 
 import (
-	"context"
 	"log/slog"
 	"sync/atomic"
 	"time"
@@ -21,14 +20,13 @@
 	carriedFor = 40 * time.Second // an attempt to take up a connection from before the run
 	// A server that returns no line for this long has lost its clients. They are owed an end 7 s after the last
 	// thing that came, and send a line every 2 s, so that the first without return is up to 2 s younger.
-	silentFor   = 4 * time.Second
-	moveWithin  = time.Second            // a client is told MOVE, or else cut off
-	tickEvery   = 250 * time.Millisecond // between looks at open connections
-	delayTold   = time.Second            // between words of slow messages at one server
-	quietFor    = time.Second            // after Stop, clients may come this long though none is left
-	sampleFor   = 2500 * time.Millisecond
-	statsEvery  = 10 * time.Second
-	queueEvents = 4096
+	silentFor  = 4 * time.Second
+	moveWithin = time.Second            // a client is told MOVE, or else cut off
+	tickEvery  = 250 * time.Millisecond // between looks at open connections
+	delayTold  = time.Second            // between words of slow messages at one server
+	quietFor   = time.Second            // after Stop, clients may come this long though none is left
+	sampleFor  = 2500 * time.Millisecond
+	statsEvery = 10 * time.Second
 )
 
 type dueKind uint8
@@ -58,8 +56,6 @@
 	lister  Lister
 	prober  Prober
 
-	inbox chan Event
-	done  chan struct{}
 	ready atomic.Bool
 
 	now       time.Duration
@@ -85,9 +81,6 @@
 // New returns an engine that starts attempts with backend, watches the list with lister and, where Options
 // allow it, asks for loads with prober.
 func New(opts Options, balancer *rules.Balancer, backend Backend, lister Lister, prober Prober) *Engine {
-	if opts.QueueEvents <= 0 {
-		opts.QueueEvents = queueEvents
-	}
 	if opts.Logger == nil {
 		opts.Logger = slog.Default()
 	}
@@ -97,7 +90,6 @@
 	}
 	return &Engine{
 		opts: opts, classes: classes, named: map[string]slot.ID{}, rules: balancer, backend: backend, lister: lister, prober: prober,
-		inbox: make(chan Event, opts.QueueEvents), done: make(chan struct{}),
 		requests: slot.New[*request](opts.Sockets),
 		servers:  map[rules.ServerID]*server{}, names: map[string]rules.ServerID{},
 	}
@@ -106,45 +98,8 @@
 // Ready reports whether a list of servers has come, so that requests can be served.
 func (e *Engine) Ready() bool { return e.ready.Load() }
 
-// Post hands an event over. It waits while the queue is full, and gives up when the engine has ended.
-func (e *Engine) Post(ev Event) {
-	select {
-	case e.inbox <- ev:
-	case <-e.done:
-	}
-}
-
-// Offer hands an event over that may be lost: it is dropped while the queue is full.
-func (e *Engine) Offer(ev Event) {
-	select {
-	case e.inbox <- ev:
-	default:
-	}
-}
-
-// Run handles events until ctx is done and the drain that follows is over. The clock tells Unix time and
-// never runs backwards.
-func (e *Engine) Run(ctx context.Context, clock func() time.Duration) {
-	defer close(e.done)
-	e.Start(clock())
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	stop := ctx.Done()
-	for !e.ended {
-		if at, ok := e.deadlines.Next(); ok {
-			timer.Reset(max(at-clock(), 0))
-		}
-		select {
-		case ev := <-e.inbox:
-			e.Handle(clock(), ev)
-		case <-timer.C:
-		case <-stop:
-			stop = nil
-			e.Handle(clock(), Stop{})
-		}
-		e.Expire(clock())
-	}
-}
+// Ended reports whether the end that Stop began is over.
+func (e *Engine) Ended() bool { return e.ended }
 
 // Start sets the regular looks going.
 func (e *Engine) Start(now time.Duration) {
--- a/internal/nats/backend/backend.go
+++ b/internal/nats/backend/backend.go
@@ -5,6 +5,7 @@
 import (
 	"net"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"example.org/milletvane/internal/engine"
@@ -23,27 +24,35 @@
 	NodePort       int           // 0: the listed one
 	Limits         codec.Limits
 	PingEvery      time.Duration
-	Pending        int // bytes that a session may hold while it is set up
 	MaxShared      int
 	Name           string // the gateway's, in the inboxes of requests
 }
 
 // Backend starts attempts for sessions and requests.
 type Backend struct {
-	options Options
+	current atomic.Pointer[Options]
 	events  Poster
 	conns   *reactor.Group
 	hubs    hubs
 }
 
 // New returns a Backend. Connect comes before the first Send.
-func New(o Options) *Backend { return &Backend{options: o} }
+func New(o Options) *Backend {
+	b := &Backend{}
+	b.SetOptions(o)
+	return b
+}
+
+// SetOptions goes over to new options for what is sent from now on.
+func (b *Backend) SetOptions(o Options) { b.current.Store(&o) }
+
+func (b *Backend) options() *Options { return b.current.Load() }
 
 // Connect sets where events go and which loops carry the connections.
 func (b *Backend) Connect(events Poster, conns *reactor.Group) { b.events, b.conns = events, conns }
 
 // Limits bound the frames of nodes.
-func (b *Backend) Limits() codec.Limits { return b.options.Limits }
+func (b *Backend) Limits() codec.Limits { return b.options().Limits }
 
 // Handles reports whether an attempt is one of this protocol's.
 func (b *Backend) Handles(a engine.Attempt) bool {
@@ -66,12 +75,12 @@
 
 // addr is where a node speaks NATS.
 func (b *Backend) addr(listed string) string {
-	if b.options.NodePort == 0 {
+	if b.options().NodePort == 0 {
 		return listed
 	}
 	host, _, err := net.SplitHostPort(listed)
 	if err != nil {
 		return listed
 	}
-	return net.JoinHostPort(host, strconv.Itoa(b.options.NodePort))
+	return net.JoinHostPort(host, strconv.Itoa(b.options().NodePort))
 }
--- a/internal/nats/backend/hub.go
+++ b/internal/nats/backend/hub.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"example.org/milletvane/internal/deadline"
+	"example.org/milletvane/internal/nats/codec"
 	"example.org/milletvane/internal/reactor"
 )
 
@@ -16,6 +17,7 @@
 	timer  *time.Timer
 	armed  time.Duration // 0: not
 	shared map[sharedKey]*Leg
+	frame  codec.Frame // the one that is being handled: on a stack it would be allocated anew for each
 }
 
 // Timer is something due later.
--- a/internal/nats/backend/leg.go
+++ b/internal/nats/backend/leg.go
@@ -84,7 +84,7 @@
 func (b *Backend) dial(a engine.Attempt, o Owner) *Leg {
 	l := &Leg{backend: b, attempt: a, owner: o, hub: b.Hub(o.Conn()), started: time.Now()}
 	wait := a.Wait
-	if t := b.options.ConnectTimeout; t > 0 {
+	if t := b.options().ConnectTimeout; t > 0 {
 		wait = min(wait, t)
 	}
 	l.mu.Lock() // the loop may be done with the dialing before conn is set
@@ -223,14 +223,17 @@
 // OnData implements reactor.Handler. Messages that pass are relayed in runs, as they stand.
 func (l *Leg) OnData(_ *reactor.Conn, b []byte) int {
 	taken, from := 0, 0
+	limits := l.backend.options().Limits
 	flush := func() {
 		if from < taken {
 			l.owner.Relay(l, b[from:taken])
 		}
 	}
 	for taken < len(b) {
-		f, n, err := codec.Parse(b[taken:], l.backend.options.Limits)
-		if err != nil {
+		f := &l.hub.frame
+		var n int
+		var err error
+		if *f, n, err = codec.Parse(b[taken:], limits); err != nil {
 			flush()
 			l.finish(rules.Errored)
 			l.broken()
@@ -245,15 +248,15 @@
 			case OwnSID(f.SID):
 				flush()
 				from = taken
-				l.replied(&f)
+				l.replied(f)
 			case l.owner != nil:
-				pass = l.owner.Message(l, &f)
+				pass = l.owner.Message(l, f)
 			}
 		}
 		if !pass {
 			flush()
 			from = taken + n
-			l.handle(&f)
+			l.handle(f)
 		}
 		taken += n
 		if l.paused || l.conn.Closed() {
@@ -380,7 +383,7 @@
 
 // keepAsking has a PING out now and then, so that a node that hangs is found.
 func (l *Leg) keepAsking() {
-	l.pinger = l.hub.After(l.backend.options.PingEvery, func() {
+	l.pinger = l.hub.After(l.backend.options().PingEvery, func() {
 		if len(l.pings) == 0 {
 			l.Ping(nil)
 		}
--- a/internal/nats/backend/try.go
+++ b/internal/nats/backend/try.go
@@ -111,7 +111,7 @@
 	}
 	l.tries[t.sid] = t
 	inbox := make([]byte, 0, 64)
-	inbox = append(append(inbox, "_GW."...), t.backend.options.Name...)
+	inbox = append(append(inbox, "_GW."...), t.backend.options().Name...)
 	inbox = strconv.AppendUint(append(inbox, '.'), uint64(t.attempt.Request), 36)
 	inbox = strconv.AppendInt(append(inbox, '.'), int64(t.attempt.Number), 10)
 	subject, body, headers := t.asker.Publication()
@@ -172,14 +172,14 @@
 	if l := h.shared[key]; l != nil {
 		return l
 	}
-	if len(h.shared) >= b.options.MaxShared {
+	if len(h.shared) >= b.options().MaxShared {
 		return nil
 	}
 	l := &Leg{backend: b, hub: h, started: time.Now(), shared: &sharedState{key: key, opening: identity}}
 	l.attempt.Server = t.attempt.Server
 	h.shared[key] = l
 	within := sharedWithin
-	if c := b.options.ConnectTimeout; c > 0 {
+	if c := b.options().ConnectTimeout; c > 0 {
 		within = min(within, c)
 	}
 	l.conn = b.conns.Dial(key.addr, within, l, t.asker.Conn())
--- a/internal/nats/front/ask.go
+++ b/internal/nats/front/ask.go
@@ -40,7 +40,7 @@
 	copied = append(append(append(copied, f.Subject...), f.Reply...), f.Body...)
 	a := &ask{session: s, subject: copied[:len(f.Subject):len(f.Subject)], reply: copied[len(f.Subject):n:n], body: copied[n:],
 		headers: f.Headers, until: time.Now().Add(r.Deadline)}
-	if s.leaving || len(s.asks) >= s.front.settings.MaxRequests {
+	if s.leaving || len(s.asks) >= s.front.settings().MaxRequests {
 		a.status(codec.StatusRefused, "Too Many Requests", 0)
 		return true
 	}
@@ -66,8 +66,8 @@
 
 // request is the class of requests on a subject; nil: it has none.
 func (s *Session) request(subject []byte) *operator.Request {
-	for i := range s.front.settings.Requests {
-		if r := &s.front.settings.Requests[i]; codec.Match([]byte(r.Subject), subject) {
+	for i := range s.front.settings().Requests {
+		if r := &s.front.settings().Requests[i]; codec.Match([]byte(r.Subject), subject) {
 			return r
 		}
 	}
--- a/internal/nats/front/front.go
+++ b/internal/nats/front/front.go
@@ -28,7 +28,7 @@
 type Front struct {
 	engine   Engine
 	backend  *backend.Backend
-	settings operator.NATS
+	current  atomic.Pointer[operator.NATS]
 	logger   *slog.Logger
 	listener *reactor.Listener
 	name     string
@@ -45,8 +45,9 @@
 
 // Listen opens the address and takes connections from then on.
 func Listen(name string, n operator.NATS, e Engine, b *backend.Backend, g *reactor.Group, logger *slog.Logger) (*Front, error) {
-	f := &Front{engine: e, backend: b, settings: n, logger: logger, name: name,
+	f := &Front{engine: e, backend: b, logger: logger, name: name,
 		id: "GW" + strconv.FormatUint(rand.Uint64(), 36), sessions: map[*Session]struct{}{}}
+	f.current.Store(&n)
 	f.payload.Store(int64(n.MaxPayload))
 	var err error
 	if f.listener, err = g.Listen(n.Listen, func() reactor.Handler { return &Session{front: f} }); err != nil {
@@ -55,6 +56,14 @@
 	return f, nil
 }
 
+func (f *Front) settings() *operator.NATS { return f.current.Load() }
+
+// SetSettings goes over to new settings for all that comes from now on. The address stays.
+func (f *Front) SetSettings(n *operator.NATS) {
+	f.current.Store(n)
+	f.payload.Store(int64(n.MaxPayload)) // nodes lower it again as sessions are set up
+}
+
 // Addr is the address that is listened on.
 func (f *Front) Addr() string { return f.listener.Addr().String() }
 
--- a/internal/nats/front/place.go
+++ b/internal/nats/front/place.go
@@ -61,7 +61,7 @@
 			s.quit(p)
 		}
 	})
-	n := &p.session.front.settings
+	n := p.session.front.settings()
 	return n.MoveWithin + n.FlushWithin
 }
 
@@ -86,7 +86,7 @@
 	if s.cur != nil {
 		// What the client subscribes to from here on must not go to the old node alone.
 		s.conn.Pause()
-		if s.front.settings.Cluster {
+		if s.front.settings().Cluster {
 			s.twice.Begin()
 		}
 	}
@@ -124,7 +124,7 @@
 	case s.phase == over:
 		return false
 	case p == s.next:
-		if len(s.held)+len(f.Raw) > heldTimes*s.front.settings.MaxPending {
+		if len(s.held)+len(f.Raw) > heldTimes*s.front.settings().MaxPending {
 			l.GiveUp()
 			return false
 		}
--- a/internal/nats/front/session.go
+++ b/internal/nats/front/session.go
@@ -58,7 +58,7 @@
 	f := s.front
 	s.conn, s.hub = c, f.backend.Hub(c)
 	s.id = f.clients.Add(1)
-	c.SetPending(f.settings.MaxPending)
+	c.SetPending(f.settings().MaxPending)
 	f.mu.Lock()
 	f.sessions[s] = struct{}{}
 	f.mu.Unlock()
@@ -126,7 +126,7 @@
 
 // OnData implements reactor.Handler. What needs no look goes to the node in runs, as it stands.
 func (s *Session) OnData(c *reactor.Conn, b []byte) int {
-	limits := codec.Limits{ControlLine: s.front.settings.ControlLine, Payload: s.told}
+	limits := codec.Limits{ControlLine: s.front.settings().ControlLine, Payload: s.told}
 	taken, from := 0, 0
 	acks := 0
 	flush := func() {
@@ -223,7 +223,7 @@
 		s.conn.Send([]byte(codec.OKFrame))
 	}
 	s.phase = waiting
-	s.key = s.from(s.front.settings.Session.Key)
+	s.key = s.from(s.front.settings().Session.Key)
 	if s.key == "" {
 		s.key = s.front.id + strconv.FormatUint(s.id, 36)
 	}
@@ -232,7 +232,7 @@
 
 // arrive asks the engine for a node.
 func (s *Session) arrive(p *place, returned bool) {
-	n := &s.front.settings
+	n := s.front.settings()
 	s.front.engine.Post(engine.Arrived{Client: p, Request: engine.Request{
 		Class: n.Session.Class, Tenant: s.options.User, Key: s.key, Group: s.from(n.Session.Group), Wait: n.Session.Wait,
 		Returned: returned,
@@ -269,7 +269,7 @@
 		s.subs.End(f.SID, f.Max)
 		return true
 	}
-	if s.subs.Len() >= s.front.settings.MaxSubscriptions {
+	if s.subs.Len() >= s.front.settings().MaxSubscriptions {
 		s.close("maximum subscriptions exceeded")
 		return false
 	}
--- a/internal/standin/natsnode.go
+++ b/internal/standin/natsnode.go
@@ -37,7 +37,7 @@
 	drainedAt time.Time
 	hung      bool
 	dead      bool
-	refuse    bool
+	mute      bool
 
 	work func(body []byte) (answer []byte, after time.Duration) // nil: echo at once
 }
@@ -132,6 +132,13 @@
 	n.cluster.ledger.failed(n)
 }
 
+// Mute has the node answer no PING, so that no set-up is confirmed.
+func (n *NATSNode) Mute() {
+	n.cluster.mu.Lock()
+	defer n.cluster.mu.Unlock()
+	n.mute = true
+}
+
 // Kill ends the node as a crash would: all connections are reset and new ones are refused.
 func (n *NATSNode) Kill() {
 	n.listener.Close()
@@ -331,6 +338,9 @@
 		c.connected, c.noResponders = true, o.NoResponders && o.Headers
 		c.echo = o.Echo == nil || *o.Echo
 	case codec.Ping:
+		if n.mute {
+			return
+		}
 		c.push([]byte(codec.PongFrame), nil)
 	case codec.Pub, codec.HPub:
 		c.publish(f)
