--- a/config/operator/operator.go
+++ b/config/operator/operator.go
@@ -32,6 +32,7 @@
 	MaxRequests      int           // out at once, a session
 	MaxPending       int           // bytes that wait for one peer before its source is left unread
 	PingEvery        time.Duration // to nodes
+	PingClients      time.Duration // a client that answers none of two is closed
 	MoveWithin       time.Duration // a session has another node by then, or is closed
 	FlushWithin      time.Duration // an old node has handed over what it has queued by then
 	MaxShared        int           // connections to nodes for requests that left their session's node
@@ -112,6 +113,7 @@
 		MaxRequests:      s.integer("max-requests", 1024, 1, 1_000_000),
 		MaxPending:       s.integer("max-pending", 64<<10, 4096, 64<<20),
 		PingEvery:        s.duration("ping-every", time.Second, 100*time.Millisecond, time.Minute),
+		PingClients:      s.duration("ping-clients", 30*time.Second, 50*time.Millisecond, time.Hour),
 		MoveWithin:       s.duration("move-within", 5*time.Second, 100*time.Millisecond, time.Minute),
 		FlushWithin:      s.duration("flush-within", 2*time.Second, 10*time.Millisecond, time.Minute),
 		MaxShared:        s.integer("max-shared", 64, 0, 10_000),
--- a/gateway/nats_test.go
+++ b/gateway/nats_test.go
@@ -34,6 +34,8 @@
 	addr    string
 	stop    context.CancelFunc
 	done    chan error
+	gateway *gateway.Gateway
+	config  config.Config
 }
 
 const natsOperator = `(nats (listen %q) (cluster true) (ping-every "200ms") %s
@@ -83,6 +85,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	f.gateway, f.config = g, *c
 	ctx, cancel := context.WithCancel(context.Background())
 	f.stop = cancel
 	go func() { f.done <- g.Run(ctx) }()
@@ -527,6 +530,24 @@
 	})
 }
 
+// A client that has vanished without a word is closed, and its node let go of it.
+func TestNATSVanishedClient(t *testing.T) {
+	f := newFleet(t, 1, false, `(ping-clients "50ms")`)
+	f.connect().Close()
+	c, err := net.Dial("tcp", f.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := newEnd(t, c)
+	e.line()
+	e.send("CONNECT {}\r\nPING\r\n")
+	for _, want := range []string{"PONG", "PING", "PING", "-ERR 'Stale Connection'"} {
+		e.expect(want + "\r\n")
+	}
+	e.ends()
+	eventually(t, "the node holds nothing", func() bool { return f.nodes[0].Conns() == 0 })
+}
+
 // Where no other node can take a session, its client is told and closed.
 func TestNATSNoNodeLeft(t *testing.T) {
 	f := newFleet(t, 1, false, `(move-within "500ms")`)
@@ -662,3 +683,36 @@
 		}
 	}
 }
+
+// New operator settings are taken whole, or not at all.
+func TestNATSReload(t *testing.T) {
+	f := newFleet(t, 1, false, "")
+	a := f.connect()
+	again := func(listen, extra string) error {
+		op, err := operator.Parse("test", []byte(fmt.Sprintf(natsOperator, listen, extra)), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return f.gateway.Reload(f.config, op)
+	}
+	if err := again(freeAddr(t), "(max-subscriptions 1)"); err == nil || !strings.Contains(err.Error(), "nats.listen") {
+		t.Errorf("another address: %v", err)
+	}
+	if err := f.gateway.Reload(f.config, nil); err == nil {
+		t.Error("switched off while it runs")
+	}
+	subscribe := func() error {
+		for i := range 2 {
+			a.SubscribeSync(fmt.Sprint("r", i))
+		}
+		return a.FlushTimeout(patience)
+	}
+	if err := subscribe(); err != nil {
+		t.Errorf("what was not taken shows: %v", err)
+	}
+	if err := again(f.addr, "(max-subscriptions 1)"); err != nil {
+		t.Fatal(err)
+	}
+	subscribe()
+	eventually(t, "the new bound ends the session", a.IsClosed)
+}
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -131,3 +131,36 @@
 	defer l.mu.Unlock()
 	return l.b.String()
 }
+
+// An operator file is checked with the rest, and every fault is told with its file, line and key.
+func TestOperatorFile(t *testing.T) {
+	env := map[string]string{"PROXY_LISTEN": "127.0.0.1:5000", "PROXY_DISCOVERY": "127.0.0.1:8500"}
+	file := filepath.Join(t.TempDir(), "op.edn")
+	write := func(text string) {
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write("(nats\n (listen \"127.0.0.1:4222\"))")
+	if code, out, errs := run(env, "check-config", "--operator", file); code != 0 || !strings.Contains(out, "nats=127.0.0.1:4222") {
+		t.Errorf("exit %d, %q, %q", code, out, errs)
+	}
+	write("(nats\n (listen 1)\n (cluster 2))")
+	env["MILLETVANE_OPERATOR"] = file
+	for _, args := range [][]string{{"check-config"}, {"serve"}} {
+		code, _, errs := run(env, args...)
+		if code == 0 || !strings.Contains(errs, "op.edn:2: nats.listen") || !strings.Contains(errs, "op.edn:3: nats.cluster") {
+			t.Errorf("%q: exit %d, %q", args, code, errs)
+		}
+	}
+}
+
+func TestLogForms(t *testing.T) {
+	bad := map[string]string{"PROXY_LISTEN": "x"}
+	if code, _, errs := run(bad, "--log-format", "json", "check-config"); code == 0 || !strings.HasPrefix(errs, "{") {
+		t.Errorf("exit %d, %q", code, errs)
+	}
+	if code, _, errs := run(bad, "--log-level", "loud", "check-config"); code == 0 || !strings.Contains(errs, "log-level") {
+		t.Errorf("exit %d, %q", code, errs)
+	}
+}
--- a/internal/nats/front/move.go
+++ b/internal/nats/front/move.go
@@ -81,6 +81,7 @@
 func (s *Session) stands(p *place) {
 	if s.phase != open { // its first
 		s.phase = open
+		s.keepAsking()
 		s.take(p)
 		return
 	}
--- a/internal/nats/front/session.go
+++ b/internal/nats/front/session.go
@@ -51,6 +51,10 @@
 	flush   *backend.Timer
 	asks    map[*ask]struct{}
 	leaving bool
+
+	keep   *backend.Timer
+	probes int  // PINGs to the client without PONG
+	heard  bool // since the last look
 }
 
 // OnOpen implements reactor.Handler. The server speaks first in this protocol.
@@ -68,6 +72,26 @@
 	f.engine.Post(engine.Accepted{Client: s.next})
 }
 
+// pingsMost is how many PINGs a client may leave unanswered.
+const pingsMost = 2
+
+// keepAsking finds a client that has vanished without a word: one that was not heard of is asked now and then.
+func (s *Session) keepAsking() {
+	s.keep = s.hub.After(s.front.settings().PingClients, func() {
+		switch {
+		case s.heard:
+			s.heard = false
+		case s.probes >= pingsMost:
+			s.close(wordStale)
+			return
+		default:
+			s.probes++
+			s.conn.Send([]byte(codec.PingFrame))
+		}
+		s.keepAsking()
+	})
+}
+
 // OnHangup implements reactor.Hanger. A client that leaves while it waits is not served; one that has a node may have
 // sent something that is still to be read.
 func (s *Session) OnHangup(*reactor.Conn) {
@@ -90,7 +114,7 @@
 	f.mu.Lock()
 	delete(f.sessions, s)
 	f.mu.Unlock()
-	for _, t := range []*backend.Timer{s.giveUp, s.again, s.flush} {
+	for _, t := range []*backend.Timer{s.giveUp, s.again, s.flush, s.keep} {
 		s.hub.Cancel(t)
 	}
 	for a := range s.asks {
@@ -137,6 +161,7 @@
 			c.Send([]byte(codec.OKFrame))
 		}
 	}
+	s.heard, s.probes = true, 0
 	for taken < len(b) && s.phase != over {
 		if s.phase == waiting || s.phase == open && (s.cur == nil || s.cur.handing) {
 			c.Pause() // until there is a node
