Work placements out ahead: an exact solver, contingencies, plan files and gateways that follow

Need: weights were nominal and found wrong only by load reports after clients suffered; crossings were not considered.

Change: package placement solves goals in order (not carried, crossings, fullest node, moves, a canonical plan) as cheapest flows whose costs are vectors, with branch and bound over constraints that are no flow's, and names a smallest conflict with what each member would have to give. Contingencies for each node, zone and batch. Plan files are S-expressions with checksum and hashes. milletvane plan solve, check, explain and diff; exit code 3 on conflict. internal/follow gives a gateway of a zone the plan's weights, goes over to contingencies and back to nominal weights, through rules.Server.Capacity alone; rules are unchanged. SIGHUP takes a new plan. Off without an operator file.

Plan files cut at or altered in any byte are refused.

--- a/Makefile
+++ b/Makefile
@@ -17,3 +17,8 @@
 # A gateway between stand-ins, on loopback, for some seconds.
 demo: build
 	bin/lab demo
+
+# The solver against brute force on its whole grid: minutes.
+.PHONY: placement-exhaustive
+placement-exhaustive:
+	go test -count=1 -timeout 60m -run GridAgrees -v ./placement -exhaustive
--- a/config/operator/form.go
+++ b/config/operator/form.go
@@ -36,7 +36,7 @@
 
 // Bounds of a file: what it holds is kept, and a list in a list is read by a call in a call.
 const (
-	fileMost  = 1 << 20
+	fileMost  = 64 << 20
 	depthMost = 20
 )
 
@@ -67,16 +67,17 @@
 	// The library reads a list as it stands, with its values as raw text, from which each value's place is known.
 	dec := edn.NewDecoder(bytes.NewReader(text))
 	var forms []form
+	lines := &lineCounter{text: text}
 	for at := 0; ; {
 		at += blank(text[at:])
-		line := 1 + bytes.Count(text[:at], []byte{'\n'})
+		line := lines.at(at)
 		var raw edn.RawMessage
 		if err := dec.Decode(&raw); errors.Is(err, io.EOF) {
 			return forms, nil
 		} else if err != nil {
 			return nil, fault(line, "is no S-expression: "+strings.TrimPrefix(err.Error(), "edn: "))
 		}
-		f, err := parse(text, at, raw, 0)
+		f, err := parse(text, lines, at, raw, 0)
 		if err != nil {
 			return nil, fault(line, err.Error())
 		}
@@ -85,6 +86,20 @@
 	}
 }
 
+// lineCounter tells lines of places that are asked for in order.
+type lineCounter struct {
+	text       []byte
+	from, seen int
+}
+
+func (l *lineCounter) at(place int) int {
+	if place > l.from {
+		l.seen += bytes.Count(l.text[l.from:place], []byte{'\n'})
+		l.from = place
+	}
+	return 1 + l.seen
+}
+
 // place finds where a value that was read stands in the text.
 func place(text []byte, from int, raw []byte) int {
 	from = min(from, len(text))
@@ -115,12 +130,12 @@
 	return i
 }
 
-func parse(text []byte, at int, raw edn.RawMessage, depth int) (form, error) {
+func parse(text []byte, lines *lineCounter, at int, raw edn.RawMessage, depth int) (form, error) {
 	if depth > depthMost {
 		return form{}, errors.New("is nested too deeply")
 	}
 	at = place(text, at, raw)
-	f := form{line: 1 + bytes.Count(text[:at], []byte{'\n'})}
+	f := form{line: lines.at(at)}
 	if raw[0] != '(' {
 		// What the library makes of other forms is not wanted, and a figure of any size takes it any time.
 		if c := raw[0]; c != '"' && (len(raw) > 64 || strings.IndexByte("#[{:\\", c) >= 0 || strings.IndexByte("NM", raw[len(raw)-1]) >= 0) {
@@ -143,7 +158,7 @@
 	}
 	at++
 	for _, item := range items {
-		sub, err := parse(text, at, item, depth+1)
+		sub, err := parse(text, lines, at, item, depth+1)
 		if err != nil {
 			return f, err
 		}
--- a/config/operator/operator.go
+++ b/config/operator/operator.go
@@ -4,8 +4,10 @@
 
 import (
 	"errors"
+	"fmt"
 	"net"
 	"os"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"time"
@@ -18,7 +20,16 @@
 
 // Settings are what an operator file holds. A nil part is off.
 type Settings struct {
-	NATS *NATS
+	NATS      *NATS
+	Placement *Placement
+	Plan      *PlanUse
+}
+
+// PlanUse has a gateway go by a plan file.
+type PlanUse struct {
+	File string
+	Zone string // of this gateway
+	Plan *Plan
 }
 
 // NATS switches the NATS client protocol on.
@@ -71,7 +82,20 @@
 	if err != nil {
 		return nil, err
 	}
-	return Parse(file, text, classes)
+	s, err := Parse(file, text, classes)
+	if err != nil || s.Plan == nil {
+		return s, err
+	}
+	// The plan is part of the settings: one that can't be read leaves the whole of them.
+	at := s.Plan.File
+	if !filepath.IsAbs(at) {
+		at = filepath.Join(filepath.Dir(file), at)
+	}
+	if text, err = os.ReadFile(at); err != nil {
+		return nil, fmt.Errorf("%s: plan.file: %w", file, err)
+	}
+	s.Plan.Plan, err = ParsePlan(at, text)
+	return s, err
 }
 
 // Parse is Load for a text.
@@ -90,6 +114,21 @@
 		s.NATS = readNATS(in, classes)
 		in.close()
 	}
+	if vals, line := top.values("placement"); line > 0 {
+		in := &section{file: file, path: "placement", line: line, faults: &faults}
+		in.open(vals, "capacity", "demand", "crossing", "constraint", "batch")
+		s.Placement = readPlacement(in)
+		in.close()
+	}
+	if vals, line := top.values("plan"); line > 0 {
+		in := &section{file: file, path: "plan", line: line, faults: &faults}
+		in.open(vals)
+		s.Plan = &PlanUse{File: in.text("file", ""), Zone: in.text("zone", "")}
+		if s.Plan.File == "" {
+			in.fault(line, "file", "is missing")
+		}
+		in.close()
+	}
 	top.close()
 	if len(faults) == 0 {
 		return s, nil
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"example.org/milletvane/internal/discovery"
 	"example.org/milletvane/internal/drive"
 	"example.org/milletvane/internal/engine"
+	"example.org/milletvane/internal/follow"
 	"example.org/milletvane/internal/line/backend"
 	"example.org/milletvane/internal/line/front"
 	natsbackend "example.org/milletvane/internal/nats/backend"
@@ -28,12 +29,17 @@
 
 // Gateway is one balancer.
 type Gateway struct {
-	config  config.Config
-	logger  *slog.Logger
-	engine  *drive.Driver
-	lines   *backend.Backend
-	nats    *natsbackend.Backend // nil: off
-	nat     *operator.NATS
+	config config.Config
+	logger *slog.Logger
+	engine *drive.Driver
+	lines  *backend.Backend
+	nats   *natsbackend.Backend // nil: off
+	nat    *operator.NATS
+	plan   *operator.PlanUse
+	follow struct {
+		sync.Mutex
+		follow.Follower
+	}
 	front   atomic.Pointer[natsfront.Front] // while it runs
 	watcher *discovery.Watcher
 }
@@ -45,7 +51,7 @@
 func WithOperator(s *operator.Settings) Option {
 	return func(g *Gateway) {
 		if s != nil {
-			g.nat = s.NATS
+			g.nat, g.plan = s.NATS, s.Plan
 		}
 	}
 }
@@ -80,7 +86,8 @@
 	if n := g.nat; n != nil {
 		g.nats = natsbackend.New(g.natsOptions(n))
 	}
-	g.watcher.Connect(g.engine.Post)
+	g.usePlan(g.plan)
+	g.watcher.Connect(g.post)
 	return g, nil
 }
 
@@ -107,11 +114,50 @@
 	if err := g.reloadNATS(nat); err != nil {
 		return err
 	}
+	var plan *operator.PlanUse
+	if op != nil {
+		plan = op.Plan
+	}
+	g.usePlan(plan)
 	g.logger.Info("reloaded", "discovery", c.Discovery, "kept", g.config.FixedChanges(&c))
 	g.watcher.SetAddr(c.Discovery)
 	return nil
 }
 
+// usePlan goes over to a plan, or to none.
+func (g *Gateway) usePlan(p *operator.PlanUse) {
+	g.follow.Lock()
+	defer g.follow.Unlock()
+	if p == nil {
+		p = &operator.PlanUse{}
+	}
+	l, said := g.follow.SetPlan(p.Plan, p.Zone)
+	g.say(said)
+	if len(l.Servers) > 0 {
+		g.engine.Post(l)
+	}
+}
+
+func (g *Gateway) say(by string) {
+	if by != "" {
+		g.logger.Info("weights", "by", by)
+	}
+}
+
+// post hands events over, lists with the weights that the plan has for them.
+func (g *Gateway) post(ev engine.Event) {
+	l, ok := ev.(engine.List)
+	if !ok {
+		g.engine.Post(ev)
+		return
+	}
+	g.follow.Lock()
+	defer g.follow.Unlock() // lists reach the engine in the order in which they are followed
+	l, said := g.follow.Apply(l)
+	g.say(said)
+	g.engine.Post(l)
+}
+
 // reloadNATS takes new settings whole or not at all: what is fixed for a gateway's life must be the same in them.
 func (g *Gateway) reloadNATS(n *operator.NATS) error {
 	switch {
@@ -170,7 +216,7 @@
 	if g.config.Known != nil {
 		stored = g.config.Known.List(rules.Stored)
 	}
-	g.engine.Post(stored)
+	g.post(stored)
 	g.logger.Info("serving", "name", g.config.Name, "listen", f.Addr(), "discovery", g.config.Discovery,
 		"pass", g.config.Node.Pass, "connections", g.config.Limits.Connections())
 	g.engine.Run(ctx, clock())
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -17,6 +18,7 @@
 	"example.org/milletvane/config"
 	"example.org/milletvane/config/operator"
 	"example.org/milletvane/gateway"
+	"example.org/milletvane/placement"
 )
 
 // Version is the program's version.
@@ -85,6 +87,7 @@
 		},
 		Action: serve,
 		Commands: []*cli.Command{
+			plans(getenv, out, errs),
 			{Name: "serve", Usage: "serve clients until told to stop (the default)", Action: serve},
 			{
 				Name: "version", Usage: "print the version",
@@ -115,6 +118,10 @@
 	}
 	if err := root.Run(ctx, args); err != nil {
 		logger.Error("failed", "err", err)
+		var conflict *placement.Infeasible
+		if errors.As(err, &conflict) {
+			return exitInfeasible
+		}
 		return 1
 	}
 	return 0
--- /dev/null
+++ b/internal/follow/follow_test.go
@@ -0,0 +1,104 @@
+package follow
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"example.org/milletvane/config/operator"
+	"example.org/milletvane/internal/engine"
+	"example.org/milletvane/placement"
+	"example.org/milletvane/rules"
+)
+
+func server(i int, zone string, state rules.ServerState) engine.Server {
+	return engine.Server{Name: fmt.Sprint("n", i), Server: rules.Server{ID: rules.ServerID(i), Zone: zone, State: state, Capacity: 7}}
+}
+
+// plan is for n1 and n2 in a, n3 in b: clients of a bring 90, of which 30 go to b; clients of b bring 20.
+func plan() *operator.Plan {
+	return &operator.Plan{Version: 4, Load: map[string]int64{"n1": 40, "n2": 20, "n3": 50},
+		Flows: []placement.Flow{{Class: "x", From: "a", To: "a", Load: 60}, {Class: "x", From: "a", To: "b", Load: 30}, {Class: "x", From: "b", To: "b", Load: 20}},
+		Contingencies: []operator.PlanContingency{
+			{Name: "node n1", Lost: []string{"n1"}, Load: map[string]int64{"n1": 0, "n2": 50, "n3": 60},
+				Flows: []placement.Flow{{Class: "x", From: "a", To: "a", Load: 50}, {Class: "x", From: "a", To: "b", Load: 40}, {Class: "x", From: "b", To: "b", Load: 20}}},
+			{Name: "zone b", Lost: []string{"n3"}, Short: 110},
+		}}
+}
+
+// told keeps what an engine would know after all lists.
+type told map[string]float64
+
+func (t told) take(l engine.List) {
+	if l.Mode != rules.Changes {
+		clear(t)
+	}
+	for _, s := range l.Servers {
+		if t[s.Name] = s.Capacity; s.State == rules.Gone {
+			delete(t, s.Name)
+		}
+	}
+}
+
+func TestGoesByThePlanAndItsContingencies(t *testing.T) {
+	var f Follower
+	know := told{}
+	step := func(l engine.List, wantSaid string, want map[string]float64) {
+		t.Helper()
+		l, said := f.Apply(l)
+		know.take(l)
+		if !strings.HasPrefix(said, wantSaid) || wantSaid == "" && said != "" || fmt.Sprint(know) != fmt.Sprint(told(want)) {
+			t.Errorf("said %q, knows %v; want %q, %v", said, know, wantSaid, want)
+		}
+	}
+	f.SetPlan(plan(), "a")
+	all := engine.List{Mode: rules.Complete, Servers: []engine.Server{server(1, "a", rules.Ready), server(2, "a", rules.Ready), server(3, "b", rules.Ready)}}
+	step(all, "plan 4", map[string]float64{"n1": 40, "n2": 20, "n3": 30})
+	step(engine.List{Mode: rules.Changes}, "", map[string]float64{"n1": 40, "n2": 20, "n3": 30})
+	step(engine.List{Mode: rules.Changes, Servers: []engine.Server{server(1, "a", rules.Draining)}}, "plan 4 after the loss of node n1",
+		map[string]float64{"n1": none, "n2": 50, "n3": 40})
+	step(engine.List{Mode: rules.Changes, Servers: []engine.Server{server(1, "a", rules.Gone)}}, "", map[string]float64{"n2": 50, "n3": 40})
+	step(engine.List{Mode: rules.Changes, Servers: []engine.Server{server(3, "b", rules.Draining)}}, "nominal weights: plan 4 has no word for the loss of n1, n3",
+		map[string]float64{"n2": 7, "n3": 7})
+	step(all, "plan 4", map[string]float64{"n1": 40, "n2": 20, "n3": 30})
+	step(engine.List{Mode: rules.Changes, Servers: []engine.Server{server(9, "b", rules.Ready)}}, "nominal weights: plan 4 does not know node n9",
+		map[string]float64{"n1": 7, "n2": 7, "n3": 7, "n9": 7})
+	l, _ := f.SetPlan(nil, "")
+	know.take(l)
+	if len(know) != 4 || know["n1"] != 7 {
+		t.Errorf("without a plan: %v", know)
+	}
+}
+
+// However a list comes, whole or in changes, gateways of a zone end with the same weights.
+func TestGatewaysOfAZoneAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var a, b Follower
+		zone := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "zone")
+		p := plan()
+		a.SetPlan(p, zone)
+		b.SetPlan(p, zone)
+		ka, kb := told{}, told{}
+		states := map[int]rules.ServerState{}
+		zones := map[int]string{1: "a", 2: "a", 3: "b", 4: "b"}
+		for range rapid.IntRange(1, 12).Draw(t, "changes") {
+			i := rapid.IntRange(1, 4).Draw(t, "node")
+			states[i] = rules.ServerState(rapid.IntRange(0, 2).Draw(t, "state"))
+			l, _ := a.Apply(engine.List{Mode: rules.Changes, Servers: []engine.Server{server(i, zones[i], states[i])}})
+			ka.take(l)
+		}
+		whole := engine.List{Mode: rules.Complete}
+		for i := 4; i > 0; i-- {
+			if s, known := states[i]; known && s != rules.Gone {
+				whole.Servers = append(whole.Servers, server(i, zones[i], s))
+			}
+		}
+		l, _ := b.Apply(whole)
+		kb.take(l)
+		if fmt.Sprint(ka) != fmt.Sprint(kb) {
+			t.Fatalf("by changes %v, whole %v", ka, kb)
+		}
+	})
+}
--- a/internal/purity/purity_test.go
+++ b/internal/purity/purity_test.go
@@ -25,6 +25,8 @@
 	"internal/line/codec":   nil,
 	"internal/nats/codec":   nil,
 	"internal/nats/session": {"internal/nats/codec"},
+	"placement":             nil,
+	"internal/follow":       {"config/operator", "internal/engine", "placement", "rules"},
 }
 
 // outside are packages that reach outside the program, or whose goroutines would.
@@ -96,7 +98,7 @@
 			return 5
 		case strings.HasSuffix(p, "/backend"):
 			return 4
-		case p == "config":
+		case p == "config", p == "internal/follow":
 			return 3
 		case p == "config/operator", p == "internal/discovery", p == "internal/drive", p == "internal/wire":
 			return 2
--- /dev/null
+++ b/placement/exhaustive_test.go
@@ -0,0 +1,134 @@
+package placement
+
+import (
+	"flag"
+	"fmt"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"testing"
+)
+
+var exhaustive = flag.Bool("exhaustive", false, "compare with brute force on the whole grid; it takes minutes")
+
+// constraintSets are none, each constraint alone, and each two together.
+func constraintSets() [][]Constraint {
+	all := []Constraint{
+		{Kind: Carry}, {Kind: Headroom, Part: Ratio{2, 3}}, {Kind: Keep, Class: "x"}, {Kind: Keep, Class: "x", Zones: []string{"a"}},
+		{Kind: KeepOut, Class: "x", Zones: []string{"a"}}, {Kind: Spread, Class: "x", Count: 2}, {Kind: Spread, Class: "x", Count: 3},
+		{Kind: Spread, Class: "x", Count: 2, Least: 2}, {Kind: Share, Part: Ratio{1, 2}}, {Kind: Together, Classes: []string{"x"}},
+		{Kind: Pair, Model: "nuevo", With: "antiguo"}, {Kind: Moves, Count: 1},
+	}
+	for i := range all {
+		all[i].Name = fmt.Sprint("c", i)
+	}
+	sets := [][]Constraint{nil}
+	for i, c := range all {
+		sets = append(sets, []Constraint{c})
+		for _, d := range all[:i] {
+			sets = append(sets, []Constraint{d, c})
+		}
+	}
+	return sets
+}
+
+// grid calls f with every case: 1 to 3 zones, up to 6 nodes in every way over the zones, capacities 0, 1 and 2 (1 and 2 from
+// four nodes on), demands 0, 1 and 2 of each zone (0 and 2 from four nodes on). Each case comes without constraints and, in
+// turn, with four of the sets above, so that each set meets every size.
+func grid(f func(*Problem)) (count int) {
+	sets := constraintSets()
+	turn := 0
+	names := []string{"a", "b", "c"}
+	for zones := 1; zones <= 3; zones++ {
+		for nodes := 1; nodes <= 6; nodes++ {
+			capacities, demands := []int64{0, 1, 2}, []int64{0, 1, 2}
+			if nodes > 3 {
+				capacities, demands = []int64{1, 2}, []int64{0, 2}
+			}
+			odometer(zones, nodes, true, func(at []int) {
+				odometer(len(capacities), nodes, false, func(caps []int) {
+					odometer(len(demands), zones, false, func(loads []int) {
+						p := &Problem{Zones: names[:zones], DefaultCost: 1, Crossings: []Crossing{{"a", "a", 0}}}
+						if zones > 1 {
+							p.Crossings = append(p.Crossings, Crossing{"a", "b", 2})
+						}
+						for i := range nodes {
+							p.Nodes = append(p.Nodes, Node{ID: fmt.Sprint("n", i), Zone: names[at[i]], Capacity: capacities[caps[i]],
+								Model: []string{"nuevo", "antiguo"}[i%2], Now: int64(i % 3 % 2)})
+						}
+						for z := range zones {
+							p.Demands = append(p.Demands, Demand{names[z], "x", demands[loads[z]]})
+						}
+						for k := range 5 {
+							q := *p
+							if k > 0 {
+								turn++
+								q.Constraints = sets[turn%len(sets)]
+							}
+							count++
+							f(&q)
+						}
+					})
+				})
+			})
+		}
+	}
+	return count
+}
+
+// odometer calls f with every sequence of n digits below base; with rising only those that never fall.
+func odometer(base, n int, rising bool, f func([]int)) {
+	digits := make([]int, n)
+	var turn func(i int)
+	turn = func(i int) {
+		if i == n {
+			f(digits)
+			return
+		}
+		from := 0
+		if rising && i > 0 {
+			from = digits[i-1]
+		}
+		for d := from; d < base; d++ {
+			digits[i] = d
+			turn(i + 1)
+		}
+	}
+	turn(0)
+}
+
+// The whole grid with -exhaustive, else one case of each 500.
+func TestGridAgreesWithBruteForce(t *testing.T) {
+	every := 500
+	if *exhaustive {
+		every = 1
+	}
+	cases := make(chan *Problem, 64)
+	var wg sync.WaitGroup
+	var checked, conflicts, wrong atomic.Int64
+	for range runtime.GOMAXPROCS(0) {
+		wg.Go(func() {
+			for p := range cases {
+				checked.Add(1)
+				if _, err := Solve(p, Options{}); err != nil {
+					conflicts.Add(1)
+				}
+				if err := agree(p); err != nil && wrong.Add(1) < 5 {
+					t.Errorf("%+v: %v", *p, err)
+				}
+			}
+		})
+	}
+	n := 0
+	count := grid(func(p *Problem) {
+		if n++; n%every == 0 {
+			cases <- p
+		}
+	})
+	close(cases)
+	wg.Wait()
+	t.Logf("%d of %d cases checked, %d of them conflicts, %d wrong", checked.Load(), count, conflicts.Load(), wrong.Load())
+	if checked.Load() == 0 {
+		t.Error("nothing was checked")
+	}
+}
