Share an attempt's phases between protocols, in a relay package

Cause: the line protocol's Link and the NATS Leg had the same phases, locks and clock of open questions, written twice.

--- a/internal/lab/natsbench.go
+++ b/internal/lab/natsbench.go
@@ -15,6 +15,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/urfave/cli/v3"
 
+	"example.org/milletvane/config"
 	"example.org/milletvane/gateway"
 	"example.org/milletvane/internal/nats/codec"
 	"example.org/milletvane/internal/standin"
@@ -201,11 +202,7 @@
 				return err
 			}
 			defer catalog.Close()
-			conf, err := lineConfig("127.0.0.1:0", catalog.Addr(), c.Int("cores"))
-			if err != nil {
-				return err
-			}
-			gateway.Confine(conf.Limits)
+			gateway.Confine(config.Limits{Cores: float64(c.Int("cores")), MemoryMB: 512})
 			g, err := startNATSGate(ctx, catalog.Addr(), c.Int("cores"), slogTo(c.Root().ErrWriter, false))
 			if err != nil {
 				return err
--- a/internal/line/backend/backend.go
+++ b/internal/line/backend/backend.go
@@ -57,14 +57,11 @@
 
 // Send implements engine.Backend. It does not wait.
 func (b *Backend) Send(a engine.Attempt) engine.Link {
-	l := &Link{backend: b, attempt: a, client: a.Client.(Client), started: time.Now()}
+	l := &Link{backend: b, attempt: a, client: a.Client.(Client)}
 	wait := a.Wait
 	if t := b.options.ConnectTimeout; t > 0 {
 		wait = min(wait, t)
 	}
-	// Under the lock, since the loop may be done with the dialing before conn is set.
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.conn = b.conns.Dial(a.Addr, wait, l, l.client.Conn())
+	l.Begin(func() *reactor.Conn { return b.conns.Dial(a.Addr, wait, l, l.client.Conn()) })
 	return l
 }
--- a/internal/line/backend/link.go
+++ b/internal/line/backend/link.go
@@ -2,39 +2,20 @@
 
 import (
 	"bytes"
-	"sync"
-	"sync/atomic"
-	"time"
 
 	"example.org/milletvane/internal/engine"
 	"example.org/milletvane/internal/line/codec"
 	"example.org/milletvane/internal/reactor"
+	"example.org/milletvane/internal/relay"
 	"example.org/milletvane/rules"
 )
 
-type phase uint8
-
-const (
-	dialing phase = iota
-	pending       // the opening line is out, the answer is not in
-	up
-	over
-)
-
 // Link is an attempt, and the server's side of the connection that it sets up.
 type Link struct {
-	backend *Backend
-	attempt engine.Attempt
-	client  Client
-	started time.Time
-
-	mu    sync.Mutex // guards the phase; never held while writing or posting
-	phase phase
-	conn  *reactor.Conn
-
-	// The oldest line of the client that the server has not returned, in nanoseconds since started plus
-	// one; 0: none.
-	asked atomic.Int64
+	relay.Attempt // what is asked is that a line of the client's be returned
+	backend       *Backend
+	attempt       engine.Attempt
+	client        Client
 
 	// Of the server's lines; only its own callbacks touch these.
 	head []byte     // of the line that has come in part
@@ -50,86 +31,48 @@
 		l.finish(rules.ConnectFailed)
 		return
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.phase == over {
-		return
-	}
-	l.phase = pending
-	c.Send(l.client.Forward(make([][]byte, 0, 3), l.attempt.Wait-time.Since(l.started))...)
-}
-
-// Abandon implements engine.Link. The connection is closed when it returns, or will carry nothing.
-func (l *Link) Abandon() bool {
-	l.mu.Lock()
-	if l.phase >= up {
-		l.mu.Unlock()
-		return false
+	if l.Step(relay.Dialing, relay.Pending) { // one that is given up meanwhile carries nothing
+		c.Send(l.client.Forward(make([][]byte, 0, 3), l.attempt.Wait-l.Age())...)
 	}
-	l.phase = over
-	l.mu.Unlock()
-	l.conn.Abort(false)
-	return true
-}
-
-// Waiting implements engine.Link.
-func (l *Link) Waiting() time.Duration {
-	if at := l.asked.Load(); at > 0 {
-		return max(time.Since(l.started)-time.Duration(at), 0)
-	}
-	return 0
 }
 
 // finish ends an attempt that is not up, once.
 func (l *Link) finish(result rules.Result) {
-	l.mu.Lock()
-	if l.phase >= up {
-		l.mu.Unlock()
-		return
+	if l.Abandon() {
+		l.backend.events.Post(engine.Ended{Request: l.attempt.Request, Number: l.attempt.Number, Result: result})
 	}
-	l.phase = over
-	l.mu.Unlock()
-	l.conn.Abort(false)
-	l.backend.events.Post(engine.Ended{Request: l.attempt.Request, Number: l.attempt.Number, Result: result})
 }
 
 // End ends the server's side of an open connection after the client's has ended.
 func (l *Link) End(reset bool) {
-	l.mu.Lock()
-	was := l.phase
-	l.phase = over
-	l.mu.Unlock()
-	switch {
-	case was == over:
+	switch was := l.Finish(); {
+	case was == relay.Over:
 	case reset:
-		l.conn.Abort(true)
+		l.Conn().Abort(true)
 	default:
-		l.conn.Close()
+		l.Conn().Close()
 	}
 }
 
 // Forward passes on bytes from the client, who is left unread while the server does not read.
 func (l *Link) Forward(b []byte) {
 	if l.backend.options.TellsDelay && bytes.IndexByte(b, '\n') >= 0 {
-		l.asked.CompareAndSwap(0, int64(time.Since(l.started))+1)
+		l.Ask()
 	}
-	l.conn.SendFrom(l.client.Conn(), b) // one that fails has ended; OnEnd follows
+	l.Conn().SendFrom(l.client.Conn(), b) // one that fails has ended; OnEnd follows
 }
 
 // OnEnd implements reactor.Handler. All that the server sent has been seen by then.
 func (l *Link) OnEnd(c *reactor.Conn, err error) {
-	l.mu.Lock()
-	at := l.phase
-	l.mu.Unlock()
-	switch at {
-	case pending:
+	switch l.Phase() {
+	case relay.Pending:
 		// What breaks before the last byte is written never ran; what breaks after may have.
 		if c.Waiting() > 0 {
 			l.finish(rules.ConnectFailed)
 		} else {
 			l.finish(rules.Reset)
 		}
-	case up:
+	case relay.Up:
 		result := rules.Reset
 		switch l.last {
 		case codec.WordBye:
@@ -143,28 +86,21 @@
 
 // ended is the end of an open connection from the server's side.
 func (l *Link) ended(result rules.Result, reset bool) {
-	l.mu.Lock()
-	was := l.phase
-	l.phase = over
-	l.mu.Unlock()
-	if was == over {
+	if l.Finish() == relay.Over {
 		return
 	}
 	l.client.End(reset)
-	l.conn.Close()
+	l.Conn().Close()
 	l.backend.events.Post(engine.Ended{Request: l.attempt.Request, Number: l.attempt.Number, Result: result})
 }
 
 // OnData implements reactor.Handler.
 func (l *Link) OnData(_ *reactor.Conn, b []byte) int {
-	l.mu.Lock()
-	at := l.phase
-	l.mu.Unlock()
-	switch at {
-	case up:
+	switch l.Phase() {
+	case relay.Up:
 		l.watch(b)
-		l.client.Relay(l.conn, b)
-	case pending:
+		l.client.Relay(l.Conn(), b)
+	case relay.Pending:
 		return l.answer(b)
 	}
 	return len(b)
@@ -199,14 +135,10 @@
 
 // open ties the client to the server. From here on the engine sees no lines.
 func (l *Link) open(first []byte) {
-	l.mu.Lock()
-	if l.phase == over {
-		l.mu.Unlock()
+	if !l.Step(relay.Pending, relay.Up) {
 		return
 	}
-	l.phase = up
-	l.mu.Unlock()
-	l.backend.events.Post(engine.Up{Request: l.attempt.Request, Number: l.attempt.Number, Elapsed: time.Since(l.started)})
+	l.backend.events.Post(engine.Up{Request: l.attempt.Request, Number: l.attempt.Number, Elapsed: l.Age()})
 	if !l.client.Open(first, l) {
 		l.End(false)
 	}
@@ -237,8 +169,7 @@
 				l.backend.events.Offer(engine.Load{Request: l.attempt.Request, Load: reply.Load})
 			}
 		case codec.WordOther:
-			if at := l.asked.Swap(0); at > 0 {
-				delay := time.Since(l.started) - time.Duration(at)
+			if delay := l.Answered(); delay > 0 {
 				l.backend.events.Offer(engine.Answered{Request: l.attempt.Request, Delay: delay})
 			}
 		}
--- a/internal/nats/backend/leg.go
+++ b/internal/nats/backend/leg.go
@@ -3,13 +3,12 @@
 import (
 	"bytes"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"example.org/milletvane/internal/engine"
 	"example.org/milletvane/internal/nats/codec"
 	"example.org/milletvane/internal/reactor"
+	"example.org/milletvane/internal/relay"
 	"example.org/milletvane/rules"
 )
 
@@ -36,29 +35,14 @@
 	Ended(*Leg)
 }
 
-type phase uint8
-
-const (
-	dialing phase = iota
-	opening       // the opening is out, or waits for the node's INFO
-	up
-	over
-)
-
 // Leg is a session's connection to a node, or one shared by requests.
 type Leg struct {
-	backend *Backend
-	attempt engine.Attempt // of a session's leg
-	owner   Owner          // nil: it is shared
-	shared  *sharedState
-	hub     *Hub
-	started time.Time
-
-	mu    sync.Mutex // guards the phase; never held while writing or posting
-	phase phase
-	conn  *reactor.Conn
-
-	asked atomic.Int64 // when the oldest PING without PONG went out, in nanoseconds since started plus one; 0: none
+	relay.Attempt // what is asked is that a PING be answered
+	backend       *Backend
+	attempt       engine.Attempt // of a session's leg
+	owner         Owner          // nil: it is shared
+	shared        *sharedState
+	hub           *Hub
 
 	// The loop alone uses these.
 	info   bool   // the first INFO is in
@@ -82,61 +66,26 @@
 func OwnSID(sid []byte) bool { return len(sid) > 0 && sid[0] == sidMark }
 
 func (b *Backend) dial(a engine.Attempt, o Owner) *Leg {
-	l := &Leg{backend: b, attempt: a, owner: o, hub: b.Hub(o.Conn()), started: time.Now()}
+	l := &Leg{backend: b, attempt: a, owner: o, hub: b.Hub(o.Conn())}
 	wait := a.Wait
 	if t := b.options().ConnectTimeout; t > 0 {
 		wait = min(wait, t)
 	}
-	l.mu.Lock() // the loop may be done with the dialing before conn is set
-	defer l.mu.Unlock()
-	l.conn = b.conns.Dial(b.addr(a.Addr), wait, l, o.Conn())
+	l.Begin(func() *reactor.Conn { return b.conns.Dial(b.addr(a.Addr), wait, l, o.Conn()) })
 	return l
 }
 
-// Conn is the leg's connection.
-func (l *Leg) Conn() *reactor.Conn { return l.conn }
-
 // Server is the node's number.
 func (l *Leg) Server() rules.ServerID { return l.attempt.Server }
 
 // Up reports whether the leg stands. The loop alone may rely on it.
-func (l *Leg) Up() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.phase == up
-}
-
-// Abandon implements engine.Link.
-func (l *Leg) Abandon() bool {
-	l.mu.Lock()
-	if l.phase >= up {
-		l.mu.Unlock()
-		return false
-	}
-	l.phase = over
-	l.mu.Unlock()
-	l.conn.Abort(false)
-	return true
-}
-
-// Waiting implements engine.Link: for how long the node has not answered a PING.
-func (l *Leg) Waiting() time.Duration {
-	if at := l.asked.Load(); at > 0 {
-		return max(time.Since(l.started)-time.Duration(at), 0)
-	}
-	return 0
-}
+func (l *Leg) Up() bool { return l.Phase() == relay.Up }
 
 // finish ends a leg that does not stand, once.
 func (l *Leg) finish(result rules.Result) {
-	l.mu.Lock()
-	if l.phase >= up {
-		l.mu.Unlock()
+	if !l.Abandon() {
 		return
 	}
-	l.phase = over
-	l.mu.Unlock()
-	l.conn.Abort(false)
 	if l.owner != nil {
 		l.backend.events.Post(engine.Ended{Request: l.attempt.Request, Number: l.attempt.Number, Result: result})
 	} else {
@@ -146,12 +95,8 @@
 
 // End ends the leg after all that was sent has been written, and tells nobody but its requests.
 func (l *Leg) End() {
-	l.mu.Lock()
-	was := l.phase
-	l.phase = over
-	l.mu.Unlock()
-	if was != over {
-		l.conn.Close()
+	if l.Finish() != relay.Over {
+		l.Conn().Close()
 		l.fall(rules.Reset)
 	}
 }
@@ -161,14 +106,10 @@
 
 // broken is the end of a leg that stands by the node's doing.
 func (l *Leg) broken() {
-	l.mu.Lock()
-	was := l.phase
-	l.phase = over
-	l.mu.Unlock()
-	if was != up {
+	if !l.Step(relay.Up, relay.Over) {
 		return
 	}
-	l.conn.Abort(false)
+	l.Conn().Abort(false)
 	l.fall(rules.Reset)
 	if l.owner != nil {
 		l.backend.events.Post(engine.Ended{Request: l.attempt.Request, Number: l.attempt.Number, Result: rules.Reset})
@@ -198,20 +139,13 @@
 		l.finish(rules.ConnectFailed)
 		return
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.phase == dialing {
-		l.phase = opening
-	}
+	l.Step(relay.Dialing, relay.Pending)
 }
 
 // OnEnd implements reactor.Handler.
 func (l *Leg) OnEnd(c *reactor.Conn, _ error) {
-	l.mu.Lock()
-	at := l.phase
-	l.mu.Unlock()
 	switch {
-	case at == up:
+	case l.Up():
 		l.broken()
 	case !l.info || c.Waiting() > 0:
 		l.finish(rules.ConnectFailed) // the opening is not out
@@ -259,7 +193,7 @@
 			l.handle(f)
 		}
 		taken += n
-		if l.paused || l.conn.Closed() {
+		if l.paused || l.Conn().Closed() {
 			break
 		}
 	}
@@ -271,7 +205,7 @@
 func (l *Leg) handle(f *codec.Frame) {
 	switch f.Op {
 	case codec.Ping:
-		l.conn.Send([]byte(codec.PongFrame))
+		l.Conn().Send([]byte(codec.PongFrame))
 	case codec.Pong:
 		l.pong()
 	case codec.Info:
@@ -310,27 +244,27 @@
 	} else {
 		b = l.shared.opening
 	}
-	l.conn.Send(b, []byte(codec.PingFrame))
+	l.Conn().Send(b, []byte(codec.PingFrame))
 	l.await(ping{then: l.stands})
 }
 
 // await notes what the next PING's answer is for.
 func (l *Leg) await(p ping) {
 	if len(l.pings) == 0 {
-		l.asked.Store(int64(time.Since(l.started)) + 1)
+		l.Ask()
 	}
 	l.pings = append(l.pings, p)
 }
 
 // Ping asks the node; then is called at its answer, behind all that the node sent before it. nil: nothing is.
 func (l *Leg) Ping(then func()) {
-	l.conn.Send([]byte(codec.PingFrame))
+	l.Conn().Send([]byte(codec.PingFrame))
 	l.await(ping{then: then})
 }
 
 // PingFor is Ping on a client's behalf.
 func (l *Leg) PingFor(then func()) {
-	l.conn.Send([]byte(codec.PingFrame))
+	l.Conn().Send([]byte(codec.PingFrame))
 	l.await(ping{then, true})
 }
 
@@ -351,9 +285,9 @@
 	then := l.pings[0].then
 	l.pings = l.pings[1:]
 	if len(l.pings) == 0 {
-		l.asked.Store(0)
+		l.Answered()
 	} else {
-		l.asked.Store(int64(time.Since(l.started)) + 1) // it answers, if late
+		l.AskAnew() // it answers, if late
 	}
 	if then != nil {
 		then()
@@ -362,19 +296,15 @@
 
 // stands is called when the opening is confirmed.
 func (l *Leg) stands() {
-	l.mu.Lock()
-	if l.phase != opening {
-		l.mu.Unlock()
+	if !l.Step(relay.Pending, relay.Up) {
 		return
 	}
-	l.phase = up
-	l.mu.Unlock()
 	l.keepAsking()
 	if l.owner == nil {
 		l.shared.stands(l)
 		return
 	}
-	l.backend.events.Post(engine.Up{Request: l.attempt.Request, Number: l.attempt.Number, Elapsed: time.Since(l.started)})
+	l.backend.events.Post(engine.Up{Request: l.attempt.Request, Number: l.attempt.Number, Elapsed: l.Age()})
 	l.owner.Stands(l)
 }
 
@@ -424,11 +354,11 @@
 // Pause leaves the leg unread behind the frame that is being handled; Resume reads on.
 func (l *Leg) Pause() {
 	l.paused = true
-	l.conn.Pause()
+	l.Conn().Pause()
 }
 
 // Resume implements what Pause says.
 func (l *Leg) Resume() {
 	l.paused = false
-	l.conn.Resume()
+	l.Conn().Resume()
 }
--- a/internal/nats/backend/try.go
+++ b/internal/nats/backend/try.go
@@ -119,7 +119,7 @@
 	head = codec.AppendSub(head, inbox, nil, []byte(t.sid))
 	head = codec.AppendUnsub(head, []byte(t.sid), 1)
 	head = codec.AppendPub(head, subject, inbox, headers, len(body))
-	l.conn.Send(head, body, []byte("\r\n"))
+	l.Conn().Send(head, body, []byte("\r\n"))
 }
 
 // withdraw tells the node that no answer is wanted any more.
@@ -128,7 +128,7 @@
 		return
 	}
 	delete(t.leg.tries, t.sid)
-	t.leg.conn.Send(codec.AppendUnsub(nil, []byte(t.sid), 0))
+	t.leg.Conn().Send(codec.AppendUnsub(nil, []byte(t.sid), 0))
 	t.asker.Withdrawn()
 }
 
@@ -175,14 +175,14 @@
 	if len(h.shared) >= b.options().MaxShared {
 		return nil
 	}
-	l := &Leg{backend: b, hub: h, started: time.Now(), shared: &sharedState{key: key, opening: identity}}
+	l := &Leg{backend: b, hub: h, shared: &sharedState{key: key, opening: identity}}
 	l.attempt.Server = t.attempt.Server
 	h.shared[key] = l
 	within := sharedWithin
 	if c := b.options().ConnectTimeout; c > 0 {
 		within = min(within, c)
 	}
-	l.conn = b.conns.Dial(key.addr, within, l, t.asker.Conn())
+	l.Begin(func() *reactor.Conn { return b.conns.Dial(key.addr, within, l, t.asker.Conn()) })
 	l.pinger = h.After(sharedWithin, func() { l.finish(rules.ConnectFailed) })
 	return l
 }
