--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -102,3 +102,21 @@
 		}
 	})
 }
+
+// A plan for 14 nodes met by a list of 9 that it has no word for: the list's own weights, and the log says why.
+func TestPlanForAnotherFleet(t *testing.T) {
+	p := &operator.Plan{Version: 1, Load: map[string]int64{}, Flows: []placement.Flow{{Class: "x", From: "a", To: "a", Load: 14}}}
+	l := engine.List{Mode: rules.Complete}
+	for i := range 14 {
+		p.Load[fmt.Sprint("n", i)] = 1
+		if i < 9 {
+			l.Servers = append(l.Servers, server(i, "a", rules.Ready))
+		}
+	}
+	var f Follower
+	f.SetPlan(p, "a")
+	got, said := f.Apply(l)
+	if !strings.HasPrefix(said, "nominal weights: plan 1 has no word for the loss of n10, n11, n12, n13, n9") || len(got.Servers) != 9 || got.Servers[0].Capacity != 7 {
+		t.Errorf("%q, %+v", said, got.Servers)
+	}
+}
