Let the operator file order the goals of a plan

Need: the issue asks for goals that are stated and configurable; their order was fixed. Change: Problem.Order and (goals …): any order of uncarried, crossings, fullest and moves. Costs stand in that order, and the search for the fullest node keeps the goals that count before it. The order is part of the hash that a plan was made for.

--- a/config/operator/placement.go
+++ b/config/operator/placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"olympos.io/encoding/edn"
 
@@ -16,6 +17,7 @@
 	DefaultCost int64
 	Constraints []placement.Constraint
 	Batches     []placement.Batch
+	Order       []placement.Goal
 }
 
 // entry reads the values of one form that stands behind a key, in order.
@@ -121,6 +123,19 @@
 	s.each("batch", func(e *entry) {
 		p.Batches = append(p.Batches, placement.Batch{Model: e.text("a kind of node"), Size: int(e.number("its size", 1, placement.MostNodes))})
 	})
+	s.each("goals", func(e *entry) {
+		for len(e.vals) > 0 {
+			f, _ := e.next("a goal")
+			g, ok := f.atom.(edn.Symbol)
+			if !ok || !slices.Contains(placement.DefaultOrder, placement.Goal(g)) || slices.Contains(p.Order, placement.Goal(g)) {
+				e.fault(f.line, "%s is not one of %v, each once", f, placement.DefaultOrder)
+			}
+			p.Order = append(p.Order, placement.Goal(g))
+		}
+		if len(p.Order) != len(placement.DefaultOrder) {
+			e.fault(e.form.line, "%d goals are named and %d wanted", len(p.Order), len(placement.DefaultOrder))
+		}
+	})
 	p.DefaultCost = int64(s.integer("crossing-default", 1, 0, placement.MostCost))
 	names := map[string]int{}
 	s.each("constraint", func(e *entry) {
--- a/config/operator/planfile_test.go
+++ b/config/operator/planfile_test.go
@@ -60,12 +60,13 @@
 		t.Errorf("read as %+v", p)
 	}
 	for change, want := range map[string]string{
-		`(carry)=>(curry)`:                 `f:3: placement.constraint.a: "curry" is no kind of constraint`,
-		`(headroom 8 10)=>(headroom 8)`:    `f:3: placement.constraint.b: a part's denominator is missing`,
-		`(spread "x" 2 5)=>(spread 2)`:     `f:4: placement.constraint.d: 2 is not a class, a string`,
-		`(constraint "d"=>(constraint "a"`: `f:4: placement.constraint: "a" is given twice, first on line 3`,
-		`"z" "x" 4=>"z" "x" 4 5`:           `f:2: placement.demand: 5 is one value too many`,
-		`"n" 15=>"n" -1`:                   `f:2: placement.capacity: -1 is not its capacity, a whole number within 0 and 1000000000`,
+		`(carry)=>(curry)`:                     `f:3: placement.constraint.a: "curry" is no kind of constraint`,
+		`(headroom 8 10)=>(headroom 8)`:        `f:3: placement.constraint.b: a part's denominator is missing`,
+		`(spread "x" 2 5)=>(spread 2)`:         `f:4: placement.constraint.d: 2 is not a class, a string`,
+		`(constraint "d"=>(constraint "a"`:     `f:4: placement.constraint: "a" is given twice, first on line 3`,
+		`"z" "x" 4=>"z" "x" 4 5`:               `f:2: placement.demand: 5 is one value too many`,
+		`(batch "n" 2)=>(goals fullest moves)`: `f:2: placement.goals: 2 goals are named and 4 wanted`,
+		`"n" 15=>"n" -1`:                       `f:2: placement.capacity: -1 is not its capacity, a whole number within 0 and 1000000000`,
 	} {
 		from, to, _ := strings.Cut(change, "=>")
 		if _, err := Parse("f", []byte(strings.Replace(good, from, to, 1)), nil); err == nil || !strings.Contains(err.Error(), want) {
--- a/internal/command/plan.go
+++ b/internal/command/plan.go
@@ -77,7 +77,7 @@
 		return nil, nil, nil, fmt.Errorf("%s: %w", c.String("list"), err)
 	}
 	p := &placement.Problem{Demands: op.Placement.Demands, Crossings: op.Placement.Crossings,
-		DefaultCost: op.Placement.DefaultCost, Constraints: op.Placement.Constraints}
+		DefaultCost: op.Placement.DefaultCost, Constraints: op.Placement.Constraints, Order: op.Placement.Order}
 	zone := func(z string) {
 		if !slices.Contains(p.Zones, z) {
 			p.Zones = append(p.Zones, z)
@@ -108,7 +108,7 @@
 	}
 	made := &operator.Plan{List: h.Sum64()}
 	h.Reset()
-	fmt.Fprintf(h, "%v %v %v %v %v", op.Placement.Capacity, p.Demands, p.Crossings, p.DefaultCost, op.Placement.Batches)
+	fmt.Fprintf(h, "%v %v %v %v %v %v", op.Placement.Order, op.Placement.Capacity, p.Demands, p.Crossings, p.DefaultCost, op.Placement.Batches)
 	for _, k := range p.Constraints {
 		k.Line = 0 // a comment more is no other setting
 		fmt.Fprintf(h, "%+v", k)
--- a/placement/brute_test.go
+++ b/placement/brute_test.go
@@ -73,7 +73,7 @@
 			}
 		}
 		slices.SortFunc(b.marks, func(x, y mark) int { return y.compare(x) })
-		if best == nil || b.compare(best) < 0 {
+		if best == nil || b.compare(best, p.order()) < 0 {
 			best = b
 		}
 	}
@@ -126,13 +126,22 @@
 }
 
 // compare orders plans as Goals say, then by flows, then by marks.
-func (b *bruteBest) compare(o *bruteBest) int {
+func (b *bruteBest) compare(o *bruteBest, order []Goal) int {
 	fullest := 0
 	if len(b.marks) > 0 && len(o.marks) > 0 {
 		fullest = cmp.Compare(b.marks[0].k*o.marks[0].of, o.marks[0].k*b.marks[0].of)
 	}
-	return cmp.Or(slices.Compare(b.value[:], o.value[:]), fullest, cmp.Compare(b.moves, o.moves),
-		slices.Compare(b.flows, o.flows), slices.CompareFunc(b.marks, o.marks, mark.compare))
+	if len(b.marks) == 0 || len(o.marks) == 0 {
+		fullest = cmp.Compare(len(b.marks), len(o.marks)) // of a plan that carries nothing none is fuller
+	}
+	goals := map[Goal]int{Uncarried: cmp.Compare(b.value[0], o.value[0]), Crossings: cmp.Compare(b.value[1], o.value[1]),
+		Fullest: fullest, Moved: cmp.Compare(b.moves, o.moves)}
+	for _, g := range order {
+		if goals[g] != 0 {
+			return goals[g]
+		}
+	}
+	return cmp.Or(slices.Compare(b.flows, o.flows), slices.CompareFunc(b.marks, o.marks, mark.compare))
 }
 
 func (b *bruteBest) meets(p *Problem, zones []string, nodes []Node, demands []Demand, to [][]int64, total int64) bool {
@@ -307,6 +316,9 @@
 	if rapid.Bool().Draw(t, "two classes") {
 		p.Demands = append(p.Demands, Demand{"a", "y", rapid.Int64Range(0, 2).Draw(t, "y")})
 	}
+	if rapid.Bool().Draw(t, "ordered") {
+		p.Order = rapid.Permutation(DefaultOrder).Draw(t, "order")
+	}
 	for i, c := range []Constraint{
 		{Kind: Carry}, {Kind: Headroom, Part: Ratio{2, 3}}, {Kind: Keep, Class: "x"}, {Kind: Keep, Class: "x", Zones: []string{"a"}},
 		{Kind: KeepOut, Class: "x", Zones: []string{"a"}}, {Kind: Spread, Class: "x", Count: 2}, {Kind: Spread, Class: "x", Count: 2, Least: 2},
--- a/placement/problem.go
+++ b/placement/problem.go
@@ -85,6 +85,28 @@
 	Crossings   []Crossing
 	DefaultCost int64 // of a crossing that is not given
 	Constraints []Constraint
+	Order       []Goal // in which goals count; nil: DefaultOrder
+}
+
+// Goal is one of Goals.
+type Goal string
+
+// The goals that plans are compared by.
+const (
+	Uncarried Goal = "uncarried"
+	Crossings Goal = "crossings"
+	Fullest   Goal = "fullest"
+	Moved     Goal = "moves"
+)
+
+// DefaultOrder is the order in which goals count where a Problem names none.
+var DefaultOrder = []Goal{Uncarried, Crossings, Fullest, Moved}
+
+func (p *Problem) order() []Goal {
+	if p.Order == nil {
+		return DefaultOrder
+	}
+	return p.Order
 }
 
 // Check reports all that is wrong with a Problem's form.
@@ -148,6 +170,9 @@
 		}
 	}
 	unique("constraint", names)
+	if got := slices.Sorted(slices.Values(p.order())); !slices.Equal(got, slices.Sorted(slices.Values(DefaultOrder))) {
+		fault("goals: %v is not each of %v once", p.Order, DefaultOrder)
+	}
 	return errors.Join(errs...)
 }
 
--- a/placement/solve.go
+++ b/placement/solve.go
@@ -6,7 +6,7 @@
 	"slices"
 )
 
-// Goals are what plans are compared by, the first of which counts first: less is better in each. Where all are equal the plan
+// Goals are what plans are compared by, in the Problem's order: less is better in each. Where all are equal the plan
 // counts whose flows are least, taken by class, zone of origin and zone in the order of names, so that one plan is the best.
 type Goals struct {
 	Uncarried int64 // units of load
@@ -206,9 +206,30 @@
 	mover  = 2 // takes what the plan in force has elsewhere
 )
 
-// build makes the network of a branch. Without moves the last goal is left out.
-func (s *planner) build(cs []Constraint, c choice, caps []int64, moves bool) *built {
+// place is where each goal that is a sum stands in a cost, behind breaches.
+func (s *planner) place(g Goal) int {
+	at := 1
+	for _, o := range s.p.order() {
+		if o == g {
+			return at
+		}
+		if o != Fullest {
+			at++
+		}
+	}
+	return -1
+}
+
+// build makes the network of a branch. Without whole, goals that count after the fullest node are left out.
+func (s *planner) build(cs []Constraint, c choice, caps []int64, whole bool) *built {
 	x := s.x
+	each := func(g Goal, n int64) (k cost) {
+		order := s.p.order()
+		if whole || slices.Index(order, g) < slices.Index(order, Fullest) {
+			k[s.place(g)] = n
+		}
+		return k
+	}
 	Z, K := len(x.zones), len(x.classes)
 	from := func(k, z int) int { return 3 + k*Z + z }
 	into := func(k, z int) int { return 3 + K*Z + k*Z + z }
@@ -239,13 +260,13 @@
 		for z := range Z {
 			d := x.demand[k][z]
 			b.add(source, from(k, z), d, cost{})
-			b.uncarried = append(b.uncarried, b.add(from(k, z), sink, d, cost{mustCarry, 1}))
+			b.uncarried = append(b.uncarried, b.add(from(k, z), sink, d, each(Uncarried, 1).add(cost{mustCarry})))
 			for to := range Z {
 				if d == 0 || !s.allowed(cs, c, class, z, to) {
 					b.flows = append(b.flows, -1)
 					continue
 				}
-				b.flows = append(b.flows, b.add(from(k, z), into(k, to), d, cost{2: x.cost[z][to]}))
+				b.flows = append(b.flows, b.add(from(k, z), into(k, to), d, each(Crossings, x.cost[z][to])))
 			}
 		}
 		for z := range Z {
@@ -263,11 +284,7 @@
 			stay += min(caps[i], x.nodes[i].Now)
 		}
 		b.add(zone(z), sink, stay, cost{})
-		each := cost{}
-		if moves {
-			each[3] = 1
-		}
-		b.add(zone(z), mover, all-stay, each)
+		b.add(zone(z), mover, all-stay, each(Moved, 1))
 	}
 	return b
 }
@@ -351,7 +368,8 @@
 	b = s.build(cs, c, f.caps, true)
 	s.used++
 	_, total, potential := b.fill(source, sink)
-	f.goals = Goals{Uncarried: total[1], Crossings: total[2], Moves: total[3], Fullest: s.exact(high, f.caps)}
+	f.goals = Goals{Uncarried: total[s.place(Uncarried)], Crossings: total[s.place(Crossings)], Moves: total[s.place(Moved)],
+		Fullest: s.exact(high, f.caps)}
 	for _, id := range b.flows {
 		if id >= 0 {
 			b.least(id, potential)
@@ -407,15 +425,17 @@
 // before reports whether a plan is better than another.
 func (f *found) before(o *found) bool {
 	a, b := f.goals, o.goals
-	switch {
-	case a.Uncarried != b.Uncarried:
-		return a.Uncarried < b.Uncarried
-	case a.Crossings != b.Crossings:
-		return a.Crossings < b.Crossings
-	case a.Fullest != b.Fullest:
-		return a.Fullest.less(b.Fullest)
-	case a.Moves != b.Moves:
-		return a.Moves < b.Moves
+	for _, g := range f.s.p.order() {
+		switch {
+		case g == Uncarried && a.Uncarried != b.Uncarried:
+			return a.Uncarried < b.Uncarried
+		case g == Crossings && a.Crossings != b.Crossings:
+			return a.Crossings < b.Crossings
+		case g == Fullest && a.Fullest != b.Fullest:
+			return a.Fullest.less(b.Fullest)
+		case g == Moved && a.Moves != b.Moves:
+			return a.Moves < b.Moves
+		}
 	}
 	return slices.Compare(f.flows, o.flows) < 0
 }
