Count a node that has just started as lost to the plan until it is warm

Cause: lab plan-run with a zone that comes back cold left 240 of 36,000 clients unserved and gave a cold node 1,290 openings in a second, where it bears 1,069: by the plan the zone's gateway had none but cold nodes in its table. Change: the follower takes such nodes as lost for the settings' cold time and goes by the contingency; a timer in the gateway looks again. Stand-in clients come again when BUSY says, and the run's gateways know that they are three.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -36,9 +36,11 @@
 	nats   *natsbackend.Backend // nil: off
 	nat    *operator.NATS
 	plan   *operator.PlanUse
+	clock  func() time.Duration // Unix time, never backwards
 	follow struct {
 		sync.Mutex
 		follow.Follower
+		timer *time.Timer // for the next look; nil: none was needed yet
 	}
 	front   atomic.Pointer[natsfront.Front] // while it runs
 	watcher *discovery.Watcher
@@ -86,6 +88,7 @@
 	if n := g.nat; n != nil {
 		g.nats = natsbackend.New(g.natsOptions(n))
 	}
+	g.follow.Cold, g.clock = c.Rules.ColdTime, clock()
 	g.usePlan(g.plan)
 	g.watcher.Connect(g.post)
 	return g, nil
@@ -131,17 +134,30 @@
 	if p == nil {
 		p = &operator.PlanUse{}
 	}
-	l, said := g.follow.SetPlan(p.Plan, p.Zone)
-	g.say(said)
-	if len(l.Servers) > 0 {
-		g.engine.Post(l)
-	}
+	l, said := g.follow.SetPlan(g.clock(), p.Plan, p.Zone)
+	g.followed(l, said)
 }
 
-func (g *Gateway) say(by string) {
-	if by != "" {
-		g.logger.Info("weights", "by", by)
+// followed passes a list on and sees to it that time is looked at when a node is warm. The lock is held.
+func (g *Gateway) followed(l engine.List, said string) {
+	if said != "" {
+		g.logger.Info("weights", "by", said)
+	}
+	if l.Mode != rules.Changes || len(l.Servers) > 0 {
+		g.engine.Post(l)
+	}
+	at, ok := g.follow.Again()
+	if g.follow.timer != nil {
+		g.follow.timer.Stop()
 	}
+	if !ok {
+		return
+	}
+	g.follow.timer = time.AfterFunc(max(at-g.clock(), 0), func() {
+		g.follow.Lock()
+		defer g.follow.Unlock()
+		g.followed(g.follow.Look(g.clock()))
+	})
 }
 
 // post hands events over, lists with the weights that the plan has for them.
@@ -153,9 +169,7 @@
 	}
 	g.follow.Lock()
 	defer g.follow.Unlock() // lists reach the engine in the order in which they are followed
-	l, said := g.follow.Apply(l)
-	g.say(said)
-	g.engine.Post(l)
+	g.followed(g.follow.Apply(g.clock(), l))
 }
 
 // reloadNATS takes new settings whole or not at all: what is fixed for a gateway's life must be the same in them.
@@ -219,7 +233,7 @@
 	g.post(stored)
 	g.logger.Info("serving", "name", g.config.Name, "listen", f.Addr(), "discovery", g.config.Discovery,
 		"pass", g.config.Node.Pass, "connections", g.config.Limits.Connections())
-	g.engine.Run(ctx, clock())
+	g.engine.Run(ctx, g.clock)
 	f.Close()
 	stopWatching()
 	wg.Wait()
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -8,6 +8,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"example.org/milletvane/config/operator"
 	"example.org/milletvane/internal/engine"
@@ -20,6 +21,13 @@
 
 // Follower knows the list and the plan. The zero value goes by no plan.
 type Follower struct {
+	// Cold is how long a node counts as lost after its start. A plan gives a node its whole part at once, and where all that
+	// a zone's gateway may use by the plan is cold, nobody else could take its clients: until they are warm, what the plan
+	// says for their loss holds.
+	Cold time.Duration
+
+	at      time.Duration // the time now, on the clock that starts are told by
+	again   time.Duration // when a node will be warm next; 0: none is cold
 	plan    *operator.Plan
 	zone    string
 	servers map[string]engine.Server // as listed, by name
@@ -28,15 +36,26 @@
 
 // SetPlan goes over to a plan, or with nil to none, for gateways of a zone. It returns the list that follows; its servers are
 // none where no list has come yet.
-func (f *Follower) SetPlan(p *operator.Plan, zone string) (engine.List, string) {
+func (f *Follower) SetPlan(now time.Duration, p *operator.Plan, zone string) (engine.List, string) {
+	f.at = now
 	if p != f.plan || zone != f.zone {
 		f.plan, f.zone, f.now = p, zone, "another"
 	}
 	return f.list(rules.Changes, nil)
 }
 
+// Again is when Look has something to do: a node is warm then. ok is false where none is cold.
+func (f *Follower) Again() (at time.Duration, ok bool) { return f.again, f.again > 0 }
+
+// Look returns the list that follows from the time alone.
+func (f *Follower) Look(now time.Duration) (engine.List, string) {
+	f.at = now
+	return f.list(rules.Changes, nil)
+}
+
 // Apply takes in a list and returns it with the weights to go by, and a word where what is gone by has changed.
-func (f *Follower) Apply(l engine.List) (engine.List, string) {
+func (f *Follower) Apply(now time.Duration, l engine.List) (engine.List, string) {
+	f.at = now
 	if l.Mode == rules.Failed {
 		return l, ""
 	}
@@ -87,12 +106,19 @@
 
 // weights finds what to go by: the plan, one of its contingencies, or nothing, and says which.
 func (f *Follower) weights() (map[string]float64, string) {
+	f.again = 0
 	if f.plan == nil {
 		return nil, ""
 	}
 	var lost []string
 	for id := range f.plan.Load {
-		if s, listed := f.servers[id]; !listed || s.State != rules.Ready {
+		s, listed := f.servers[id]
+		warm := s.Started + f.Cold
+		cold := listed && s.Started > 0 && f.at < warm
+		if cold && (f.again == 0 || warm < f.again) {
+			f.again = warm
+		}
+		if !listed || cold || s.State != rules.Ready {
 			lost = append(lost, id)
 		}
 	}
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -47,13 +48,13 @@
 	know := told{}
 	step := func(l engine.List, wantSaid string, want map[string]float64) {
 		t.Helper()
-		l, said := f.Apply(l)
+		l, said := f.Apply(0, l)
 		know.take(l)
 		if !strings.HasPrefix(said, wantSaid) || wantSaid == "" && said != "" || fmt.Sprint(know) != fmt.Sprint(told(want)) {
 			t.Errorf("said %q, knows %v; want %q, %v", said, know, wantSaid, want)
 		}
 	}
-	f.SetPlan(plan(), "a")
+	f.SetPlan(0, plan(), "a")
 	all := engine.List{Mode: rules.Complete, Servers: []engine.Server{server(1, "a", rules.Ready), server(2, "a", rules.Ready), server(3, "b", rules.Ready)}}
 	step(all, "plan 4", map[string]float64{"n1": 40, "n2": 20, "n3": 30})
 	step(engine.List{Mode: rules.Changes}, "", map[string]float64{"n1": 40, "n2": 20, "n3": 30})
@@ -65,7 +66,7 @@
 	step(all, "plan 4", map[string]float64{"n1": 40, "n2": 20, "n3": 30})
 	step(engine.List{Mode: rules.Changes, Servers: []engine.Server{server(9, "b", rules.Ready)}}, "nominal weights: plan 4 does not know node n9",
 		map[string]float64{"n1": 7, "n2": 7, "n3": 7, "n9": 7})
-	l, _ := f.SetPlan(nil, "")
+	l, _ := f.SetPlan(0, nil, "")
 	know.take(l)
 	if len(know) != 4 || know["n1"] != 7 {
 		t.Errorf("without a plan: %v", know)
@@ -78,15 +79,15 @@
 		var a, b Follower
 		zone := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "zone")
 		p := plan()
-		a.SetPlan(p, zone)
-		b.SetPlan(p, zone)
+		a.SetPlan(0, p, zone)
+		b.SetPlan(0, p, zone)
 		ka, kb := told{}, told{}
 		states := map[int]rules.ServerState{}
 		zones := map[int]string{1: "a", 2: "a", 3: "b", 4: "b"}
 		for range rapid.IntRange(1, 12).Draw(t, "changes") {
 			i := rapid.IntRange(1, 4).Draw(t, "node")
 			states[i] = rules.ServerState(rapid.IntRange(0, 2).Draw(t, "state"))
-			l, _ := a.Apply(engine.List{Mode: rules.Changes, Servers: []engine.Server{server(i, zones[i], states[i])}})
+			l, _ := a.Apply(0, engine.List{Mode: rules.Changes, Servers: []engine.Server{server(i, zones[i], states[i])}})
 			ka.take(l)
 		}
 		whole := engine.List{Mode: rules.Complete}
@@ -95,7 +96,7 @@
 				whole.Servers = append(whole.Servers, server(i, zones[i], s))
 			}
 		}
-		l, _ := b.Apply(whole)
+		l, _ := b.Apply(0, whole)
 		kb.take(l)
 		if fmt.Sprint(ka) != fmt.Sprint(kb) {
 			t.Fatalf("by changes %v, whole %v", ka, kb)
@@ -114,9 +115,31 @@
 		}
 	}
 	var f Follower
-	f.SetPlan(p, "a")
-	got, said := f.Apply(l)
+	f.SetPlan(0, p, "a")
+	got, said := f.Apply(0, l)
 	if !strings.HasPrefix(said, "nominal weights: plan 1 has no word for the loss of n10, n11, n12, n13, n9") || len(got.Servers) != 9 || got.Servers[0].Capacity != 7 {
 		t.Errorf("%q, %+v", said, got.Servers)
 	}
 }
+
+// A node that has just started counts as lost until it is warm; then, without another list, the plan holds again.
+func TestColdNodesAreLostUntilWarm(t *testing.T) {
+	f := Follower{Cold: 10 * time.Second}
+	f.SetPlan(time.Hour, plan(), "a")
+	fresh := server(1, "a", rules.Ready)
+	fresh.Started = time.Hour - 4*time.Second
+	know := told{}
+	l, said := f.Apply(time.Hour, engine.List{Mode: rules.Complete, Servers: []engine.Server{fresh, server(2, "a", rules.Ready), server(3, "b", rules.Ready)}})
+	know.take(l)
+	if at, ok := f.Again(); said != "plan 4 after the loss of node n1" || know["n1"] != none || !ok || at != time.Hour+6*time.Second {
+		t.Fatalf("%q, %v, again at %v", said, know, at)
+	}
+	if l, said = f.Look(time.Hour + 5*time.Second); len(l.Servers) != 0 || said != "" {
+		t.Errorf("too early: %q", said)
+	}
+	l, said = f.Look(time.Hour + 6*time.Second)
+	know.take(l)
+	if _, ok := f.Again(); said != "plan 4" || know["n1"] != 40 || ok {
+		t.Errorf("%q, %v", said, know)
+	}
+}
--- a/internal/lab/gateway.go
+++ b/internal/lab/gateway.go
@@ -26,6 +26,7 @@
 // lineSettings are the settings that experiments with lines go by.
 const lineSettings = `{"caps":{"max_attempts":5,"connect_timeout_ns":1000000000,"retry_after":true,"max_retry_after_ns":2000000000},
  "discovery":"ask","family_info":{"mode":"proxy"},
+ "rules":{"start_capacity":0.2,"cold_ns":11000000000,"tip_multiple":4,"fall_ns":1000000000,"stop_sending_within_ns":500000000},
  "classes":[{"name":"lines","effect":"idempotent","group":"all","give_up_ns":5000000000,"slo_ns":1000000000}]}`
 
 // lineConfig is a gateway's configuration in front of a catalog.
--- a/internal/lab/planrun.go
+++ b/internal/lab/planrun.go
@@ -34,11 +34,14 @@
 	AfterLoss    float64 `json:"worst_deviation_after_loss"`
 	LostZoneSent int64   `json:"sent_to_lost_zone"`
 	Restarted    int     `json:"gateways_restarted"`
+	ColdMost     int     `json:"cold_most_in_a_second"` // openings at a node of the zone that comes back
+	ColdLimit    int     `json:"cold_limit"`            // tip multiple times the cold share of what that node had when warm
 }
 
 // site is three uneven zones: the first brings more than its own nodes carry.
 type site struct {
 	problem *placement.Problem
+	mu      sync.Mutex // guards servers: some come back while clients come
 	servers map[string]*standin.LineServer
 	catalog *standin.Catalog
 	plan    *operator.Plan
@@ -88,11 +91,18 @@
 
 func (s *site) close() {
 	s.catalog.Close()
-	for _, l := range s.servers {
+	for _, l := range s.running() {
 		l.Close()
 	}
 }
 
+// running are the servers as they are now.
+func (s *site) running() map[string]*standin.LineServer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.servers)
+}
+
 // zoneGate is a gateway of a zone.
 type zoneGate struct {
 	addr string
@@ -109,6 +119,7 @@
 	if err != nil {
 		return nil, err
 	}
+	conf.Rules.Gateways = len(s.problem.Zones)
 	var op *operator.Settings
 	if plan != nil {
 		op = &operator.Settings{Plan: &operator.PlanUse{Zone: zone, Plan: plan}}
@@ -135,8 +146,8 @@
 	failed := 0
 	var mu sync.Mutex
 	for _, d := range s.problem.Demands {
-		before := map[string]int64{}
-		for id, l := range s.servers {
+		servers, before := s.running(), map[string]int64{}
+		for id, l := range servers {
 			before[id] = l.Opened()
 		}
 		var wg sync.WaitGroup
@@ -154,7 +165,7 @@
 		}
 		wg.Wait()
 		came[d.Zone] = map[string]int64{}
-		for id, l := range s.servers {
+		for id, l := range servers {
 			came[d.Zone][id] = l.Opened() - before[id]
 		}
 	}
@@ -174,6 +185,10 @@
 			c.SetDeadline(time.Now().Add(5 * time.Second))
 			fmt.Fprintf(c, "OPEN %s.%d %s c=lines,d=3000\r\n", key, try, key)
 			line, err := bufio.NewReader(c).ReadString('\n')
+			var wait int
+			if n, _ := fmt.Sscanf(line, "BUSY %d", &wait); n == 1 { // come again when told
+				time.Sleep(time.Duration(wait) * time.Millisecond)
+			}
 			if err == nil && !strings.HasPrefix(line, "UP") {
 				err = fmt.Errorf("answered %q", line)
 			}
@@ -264,20 +279,62 @@
 	if r.Failed > 0 || r.LostZoneSent > 0 {
 		errs = append(errs, fmt.Errorf("%d not served, %d sent to the lost zone", r.Failed, r.LostZoneSent))
 	}
+	if r.ColdMost > r.ColdLimit {
+		errs = append(errs, fmt.Errorf("a cold node had %d openings in a second and bears %d", r.ColdMost, r.ColdLimit))
+	}
 	if r.With >= r.Without {
 		errs = append(errs, fmt.Errorf("crossings are %d with the plan and %d without", r.With, r.Without))
 	}
 	return errors.Join(errs...)
 }
 
-func runPlan(ctx context.Context, each int, logger *slog.Logger) (*planResult, error) {
+// runPhase has clients come to gateways that go by a plan, while something may happen to these.
+type runPhase func(plan *operator.Plan, phase string, amid func(set func(zone string, g *zoneGate), old map[string]*zoneGate)) (map[string]map[string]int64, error)
+
+// comeBack has a lost zone come back cold while clients come, and looks how much its nodes get at once. A node that starts can
+// do a fifth of what it did, and bears four times that over a second.
+func (s *site) comeBack(r *planResult, lost string, run runPhase) error {
+	warm := map[string]int{}
+	for _, n := range s.problem.Nodes {
+		if n.Zone == lost {
+			warm[n.ID] = s.servers[n.ID].MostWithin(time.Second)
+		}
+	}
+	_, err := run(s.plan, "back", func(func(string, *zoneGate), map[string]*zoneGate) {
+		for _, n := range s.problem.Nodes {
+			if n.Zone != lost {
+				continue
+			}
+			l, err := standin.NewLineServer()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			s.servers[n.ID] = l
+			s.mu.Unlock()
+			s.catalog.Set(standin.Node{ID: n.ID, Addr: l.Addr(), Zone: n.Zone, Kind: n.Model, State: standin.InService, Weight: 1,
+				StartedMS: time.Now().UnixMilli()})
+		}
+	})
+	worst := 0.0
+	now := s.running()
+	for id, was := range warm {
+		got, limit := now[id].MostWithin(time.Second), was*4/5
+		if part := float64(got) / float64(max(limit, 1)); part >= worst {
+			worst, r.ColdMost, r.ColdLimit = part, got, limit
+		}
+	}
+	return err
+}
+
+func runPlan(ctx context.Context, each int, logger *slog.Logger) (r *planResult, err error) {
 	s, err := newSite()
 	if err != nil {
 		return nil, err
 	}
 	defer s.close()
-	r := &planResult{Planned: s.plan.Goals.Crossings * int64(each)}
-	run := func(plan *operator.Plan, phase string, amid func(set func(zone string, g *zoneGate), old map[string]*zoneGate)) (map[string]map[string]int64, error) {
+	r = &planResult{Planned: s.plan.Goals.Crossings * int64(each)}
+	var run runPhase = func(plan *operator.Plan, phase string, amid func(set func(zone string, g *zoneGate), old map[string]*zoneGate)) (map[string]map[string]int64, error) {
 		var mu sync.Mutex
 		gates := map[string]*zoneGate{}
 		for _, z := range s.problem.Zones {
@@ -365,6 +422,7 @@
 		return nil, err
 	}
 	r.AfterLoss = deviation(came, after.Load, each)
+	defer func() { err = errors.Join(err, s.comeBack(r, lost, run)) }()
 	for _, by := range came {
 		for _, n := range s.problem.Nodes {
 			if n.Zone == lost {
--- a/internal/standin/lineserver.go
+++ b/internal/standin/lineserver.go
@@ -18,6 +18,7 @@
 	mu       sync.Mutex
 	conns    map[net.Conn]*lineConn
 	draining bool
+	times    []time.Time // of all openings
 
 	opened atomic.Int64
 	late   atomic.Int64
@@ -61,6 +62,20 @@
 // Late counts the openings that came after Drain.
 func (s *LineServer) Late() int64 { return s.late.Load() }
 
+// MostWithin is the largest number of openings in any span of time.
+func (s *LineServer) MostWithin(span time.Duration) (most int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	from := 0
+	for to, at := range s.times {
+		for at.Sub(s.times[from]) >= span {
+			from++
+		}
+		most = max(most, to-from+1)
+	}
+	return most
+}
+
 // Drain turns new connections away and sends those that stand away, one after another.
 func (s *LineServer) Drain(between time.Duration) {
 	s.mu.Lock()
@@ -127,7 +142,9 @@
 		case strings.HasPrefix(string(line), "OPEN "):
 			s.mu.Lock()
 			turnedAway := s.draining
-			c.open = !turnedAway
+			if c.open = !turnedAway; c.open {
+				s.times = append(s.times, time.Now())
+			}
 			s.mu.Unlock()
 			if turnedAway {
 				s.late.Add(1)
--- a/rules/weights_test.go
+++ b/rules/weights_test.go
@@ -6,8 +6,8 @@
 	"testing"
 )
 
-// What a change of weights moves, over the least that could be: the sum of what each share gains. Plans change weights, and
-// every key that moves is a client that is set up anew later.
+// What a change of weights moves, over the least that could be: the sum of what each share gains. Plans
+// change weights, and every key that moves is a client that is set up anew later.
 func TestChangedWeightsMoveFewSlots(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 1))
 	worst, sum, runs := 0.0, 0.0, 0
@@ -42,7 +42,8 @@
 		ratio := float64(moved) / least
 		worst, sum, runs = math.Max(worst, ratio), sum+ratio, runs+1
 	}
-	t.Logf("%d changes: %.2f times the least slots moved on average, %.2f at worst", runs, sum/float64(runs), worst)
+	t.Logf("%d changes: %.2f times the least slots moved on average, %.2f at worst",
+		runs, sum/float64(runs), worst)
 	if sum/float64(runs) > 5 {
 		t.Error("a change of weights reshuffles the table")
 	}
