Let plans keep within a cap on connections of a kind of node

Need: the issue's connection cap was missing among the constraints. Change: the constraint (connections KIND N LOAD): a node of the kind carries at most N connections of that load each; a conflict says how many would do. One load holds for all classes, since per class it would be no flow any more.

--- a/config/operator/placement.go
+++ b/config/operator/placement.go
@@ -186,6 +186,9 @@
 		c.Kind, c.Classes = placement.Together, in.texts("a class")
 	case "pair":
 		c.Kind, c.Model, c.With = placement.Pair, in.text("a kind of node"), in.text("a kind of node")
+	case "connections":
+		c.Kind, c.Model, c.Count = placement.Connections, in.text("a kind of node"), in.number("connections", 0, placement.MostLoad)
+		c.Least = in.number("the load of one", 1, 1_000_000)
 	case "moves":
 		c.Kind, c.Count = placement.Moves, in.number("units of load", 0, math.MaxInt32)
 	default:
--- a/placement/brute_test.go
+++ b/placement/brute_test.go
@@ -198,6 +198,9 @@
 				c.Kind == Share && b.loads[j]*c.Part.Den > total*c.Part.Num {
 				return false
 			}
+			if c.Kind == Connections && n.Model == c.Model && b.loads[j] > c.Count*max(c.Least, 1) {
+				return false
+			}
 			moved += max(b.loads[j]-n.Now, 0)
 		}
 		if c.Kind == Moves && moved > c.Count {
@@ -323,7 +326,7 @@
 		{Kind: Carry}, {Kind: Headroom, Part: Ratio{2, 3}}, {Kind: Keep, Class: "x"}, {Kind: Keep, Class: "x", Zones: []string{"a"}},
 		{Kind: KeepOut, Class: "x", Zones: []string{"a"}}, {Kind: Spread, Class: "x", Count: 2}, {Kind: Spread, Class: "x", Count: 2, Least: 2},
 		{Kind: Share, Part: Ratio{1, 2}}, {Kind: Together, Classes: []string{"x", "y"}}, {Kind: Pair, Model: "nuevo", With: "antiguo"},
-		{Kind: Moves, Count: 1}, {Kind: Carry, Class: "y"},
+		{Kind: Moves, Count: 1}, {Kind: Carry, Class: "y"}, {Kind: Connections, Model: "nuevo", Count: 1, Least: 1},
 	} {
 		if rapid.IntRange(0, 3).Draw(t, "constrained") == 0 {
 			c.Name = fmt.Sprint("c", i)
--- a/placement/conflict.go
+++ b/placement/conflict.go
@@ -77,8 +77,15 @@
 				return fmt.Sprintf("%d zones would do in place of %d", n, c.Count)
 			}
 		}
+	case Connections:
+		least := sort.Search(int(s.x.total)+1, func(n int) bool {
+			return with(func(c *Constraint) { c.Count = int64(n) })
+		})
+		if int64(least) <= s.x.total {
+			return fmt.Sprintf("%d connections would do in place of %d", least, c.Count)
+		}
 	case Moves:
-		least := int64(sort.Search(int(min(s.x.total, 1<<40))+1, func(n int) bool {
+		least := int64(sort.Search(int(s.x.total)+1, func(n int) bool {
 			return with(func(c *Constraint) { c.Count = int64(n) })
 		}))
 		return fmt.Sprintf("%d units would do in place of %d", least, c.Count)
--- a/placement/problem.go
+++ b/placement/problem.go
@@ -51,15 +51,16 @@
 
 // Kinds of constraints.
 const (
-	Carry    Kind = iota // all load of Class is carried; empty Class: all load
-	Headroom             // no node carries more than Part of its capacity
-	Keep                 // Class is carried in Zones alone; no Zones: in the zone that it comes from
-	KeepOut              // Class is carried in none of Zones
-	Spread               // at least Count zones carry Least or more of Class each
-	Share                // no node carries more than Part of all load
-	Together             // all load of Classes that is carried is carried in one zone
-	Pair                 // a node of Model counts only beside one of With in its zone, each one once
-	Moves                // at most Count units of load go to where the plan in force does not have them
+	Carry       Kind = iota // all load of Class is carried; empty Class: all load
+	Headroom                // no node carries more than Part of its capacity
+	Keep                    // Class is carried in Zones alone; no Zones: in the zone that it comes from
+	KeepOut                 // Class is carried in none of Zones
+	Spread                  // at least Count zones carry Least or more of Class each
+	Share                   // no node carries more than Part of all load
+	Together                // all load of Classes that is carried is carried in one zone
+	Pair                    // a node of Model counts only beside one of With in its zone, each one once
+	Connections             // a node of Model carries at most Count connections of Least load each
+	Moves                   // at most Count units of load go to where the plan in force does not have them
 )
 
 // Constraint is one demand on plans. It is named, so that a conflict can be told.
--- a/placement/solve.go
+++ b/placement/solve.go
@@ -168,6 +168,12 @@
 			for i := range caps {
 				caps[i] = min(caps[i], c.Part.of(s.x.total))
 			}
+		case Connections:
+			for i, n := range s.x.nodes {
+				if n.Model == c.Model {
+					caps[i] = min(caps[i], c.Count*max(c.Least, 1))
+				}
+			}
 		case Pair:
 			for _, zone := range s.x.inZone {
 				var first []int
