--- a/internal/lab/gateway.go
+++ b/internal/lab/gateway.go
@@ -36,16 +36,21 @@
 	return config.Parse([]byte(text), func(string) string { return "" })
 }
 
+// confined keeps a program that benchmarks start to its cores, and lists the one server that it is to stand before.
+func confined(c *cli.Command) (*standin.Catalog, error) {
+	if err := pin(cpuList(0, c.Int("cores"))...); err != nil {
+		return nil, err
+	}
+	return standin.NewCatalog(standin.Node{ID: "s-00000001", Addr: c.String("to"), State: standin.InService, Weight: 1})
+}
+
 // lineGateway is a gateway confined to its cores in front of one server.
 func lineGateway() *cli.Command {
 	return &cli.Command{
 		Name: "line-gateway", Hidden: true, Usage: "a gateway, which benchmarks start",
 		Flags: []cli.Flag{&cli.IntFlag{Name: "cores", Value: 1}, &cli.StringFlag{Name: "to", Required: true}},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			if err := pin(cpuList(0, c.Int("cores"))...); err != nil {
-				return err
-			}
-			catalog, err := standin.NewCatalog(standin.Node{ID: "s-00000001", Addr: c.String("to"), State: standin.InService, Weight: 1})
+			catalog, err := confined(c)
 			if err != nil {
 				return err
 			}
--- a/internal/lab/natsbench.go
+++ b/internal/lab/natsbench.go
@@ -194,10 +194,7 @@
 		Name: "nats-gateway", Hidden: true, Usage: "a gateway that speaks NATS, which benchmarks start",
 		Flags: []cli.Flag{&cli.IntFlag{Name: "cores", Value: 1}, &cli.StringFlag{Name: "to", Required: true}},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			if err := pin(cpuList(0, c.Int("cores"))...); err != nil {
-				return err
-			}
-			catalog, err := standin.NewCatalog(standin.Node{ID: "s-00000001", Addr: c.String("to"), State: standin.InService, Weight: 1})
+			catalog, err := confined(c)
 			if err != nil {
 				return err
 			}
--- a/internal/standin/natsnode.go
+++ b/internal/standin/natsnode.go
@@ -55,7 +55,6 @@
 
 	out   sync.Cond // of the cluster's lock
 	queue []natsItem
-	stuck bool // nothing is written, so that messages queue up
 }
 
 type natsSub struct {
@@ -180,16 +179,6 @@
 	return false
 }
 
-// Stick has the node write nothing to its clients, or go on with it.
-func (n *NATSNode) Stick(on bool) {
-	n.cluster.mu.Lock()
-	defer n.cluster.mu.Unlock()
-	for c := range n.conns {
-		c.stuck = on
-		c.out.Broadcast()
-	}
-}
-
 func (n *NATSNode) info() []byte {
 	return codec.AppendJSON(nil, "INFO", codec.ServerInfo{ID: n.Name, Name: n.Name, Version: "2.10.0", Headers: true,
 		MaxPayload: 1 << 20, Proto: 1, LameDuck: n.draining})
@@ -243,7 +232,7 @@
 	mu := &c.node.cluster.mu
 	for {
 		mu.Lock()
-		for !c.closed && (len(c.queue) == 0 || c.stuck || c.node.hung) {
+		for !c.closed && (len(c.queue) == 0 || c.node.hung) {
 			c.out.Wait()
 		}
 		items := c.queue
