Answer operators, share the passed socket, report figures and take servers out by hand

Need: on the untouched program upgrades end in a crash (the address is in use) and calls and figures are missing.

--- a/config/config.go
+++ b/config/config.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"os"
+	"path/filepath"
 	"reflect"
 	"strconv"
 	"time"
@@ -22,6 +23,9 @@
 	EnvListen    = "PROXY_LISTEN"
 	EnvDiscovery = "PROXY_DISCOVERY"
 	EnvFile      = "PROXY_CONFIG"
+	EnvAdmin     = "PROXY_ADMIN_ADDR"
+	EnvPassed    = "PROXY_PASSED_SOCKET"
+	EnvState     = "TMPDIR"
 )
 
 // Defaults for what the configuration leaves out.
@@ -33,10 +37,11 @@
 )
 
 const (
-	ownSockets = 48 // for the listener, discovery, epoll, logs and connections that are on their way out
-	minSockets = ownSockets + 16
-	drainMost  = 3 * time.Second        // a longer deadline is taken as this when the platform ends a program,
-	drainMore  = 500 * time.Millisecond // and a client that comes late still has its answer
+	ownSockets   = 48                     // for the listener, discovery, epoll, logs and connections that are on their way out
+	adminSockets = 20                     // for operators: their listener, those who call and files that are written for them
+	leastSockets = 16                     // for clients and their servers
+	drainMost    = 3 * time.Second        // a longer deadline is taken as this when the platform ends a program,
+	drainMore    = 500 * time.Millisecond // and a client that comes late still has its answer
 	// Where packets pass through, another gateway takes up what is open when this one is gone. An end before the
 	// platform ends the program would break these connections instead, so it is left to the platform for so long.
 	drainPass = 15 * time.Second
@@ -47,10 +52,11 @@
 	Cores    float64
 	MemoryMB int
 	Sockets  int
+	Admin    int // of Sockets, those set aside for operators
 }
 
 // ForClients is how many descriptors clients and their servers may take.
-func (l Limits) ForClients() int { return l.Sockets - ownSockets }
+func (l Limits) ForClients() int { return l.Sockets - ownSockets - l.Admin }
 
 // Idle is how many of these clients may take that have asked for nothing. The rest is free for those that do.
 func (l Limits) Idle() int { return l.ForClients() / 4 }
@@ -63,6 +69,9 @@
 	Name      string
 	Listen    string
 	Discovery string
+	Admin     string // where operators call; empty: nowhere
+	Passed    int    // the descriptor of a listening socket that the platform holds; 0: there is none
+	State     string // a folder for what the next process should know; empty: there is none
 	Limits    Limits
 	Known     *discovery.Members // the list as last held; nil: none
 	Rules     rules.Settings
@@ -75,6 +84,7 @@
 	Name      string `json:"name"`
 	Listen    string `json:"listen"`
 	Discovery string `json:"discovery"`
+	Admin     string `json:"admin_addr"`
 	Seed      string `json:"seed"`
 	Limits    struct {
 		Cores    *float64 `json:"cores"`
@@ -113,7 +123,7 @@
 	}
 	c := &Config{
 		Name: pick(getenv(EnvName), f.Name), Listen: pick(getenv(EnvListen), f.Listen),
-		Discovery: pick(f.Discovery, getenv(EnvDiscovery)),
+		Discovery: pick(f.Discovery, getenv(EnvDiscovery)), Admin: pick(getenv(EnvAdmin), f.Admin),
 	}
 	if c.Name == "" {
 		c.Name = "milletvane"
@@ -124,17 +134,36 @@
 	if err := address("discovery ("+EnvDiscovery+")", c.Discovery); err != nil {
 		return nil, err
 	}
+	if c.Admin != "" {
+		if err := address("admin_addr ("+EnvAdmin+")", c.Admin); err != nil {
+			return nil, err
+		}
+	}
+	if v := getenv(EnvPassed); v != "" {
+		fd, err := strconv.ParseUint(v, 10, 16)
+		if err != nil || fd < 3 {
+			return nil, fmt.Errorf("%s: %q is not the number of a descriptor from 3 on", EnvPassed, v)
+		}
+		c.Passed = int(fd)
+	}
+	if dir := getenv(EnvState); dir != "" {
+		// Under the name and address, as a machine's folder for such files may serve several gateways.
+		c.State = filepath.Join(dir, "milletvane-"+plain(c.Name)+"-"+plain(c.Listen))
+	}
 	c.Limits = Limits{
 		Cores: value(f.Limits.Cores, DefaultCores), MemoryMB: value(f.Limits.MemoryMB, DefaultMemoryMB),
 		Sockets: value(f.Limits.Sockets, DefaultSockets),
 	}
+	if c.Admin != "" {
+		c.Limits.Admin = adminSockets
+	}
 	switch {
 	case !(c.Limits.Cores > 0):
 		return nil, fmt.Errorf("limits.cores: %v is not above 0", c.Limits.Cores)
 	case c.Limits.MemoryMB < 16:
 		return nil, fmt.Errorf("limits.memory_mb: %d is under 16", c.Limits.MemoryMB)
-	case c.Limits.Sockets < minSockets:
-		return nil, fmt.Errorf("limits.sockets: %d is under %d", c.Limits.Sockets, minSockets)
+	case c.Limits.ForClients() < leastSockets:
+		return nil, fmt.Errorf("limits.sockets: %d is under %d", c.Limits.Sockets, c.Limits.Sockets-c.Limits.ForClients()+leastSockets)
 	}
 	if given(f.Known) {
 		known, err := discovery.Parse(f.Known)
@@ -194,6 +223,7 @@
 	}{
 		{"name", c.Name == to.Name},
 		{"listen", c.Listen == to.Listen},
+		{"admin_addr", c.Admin == to.Admin},
 		{"limits", c.Limits == to.Limits},
 		{"settings", reflect.DeepEqual(a, b) && c.Node == to.Node},
 	} {
@@ -206,6 +236,17 @@
 
 func given(raw json.RawMessage) bool { return len(raw) > 0 && string(raw) != "null" }
 
+// plain keeps of a text what may stand in a file's name.
+func plain(s string) string {
+	b := []byte(s)
+	for i, x := range b {
+		if !(x >= '0' && x <= '9' || x >= 'a' && x <= 'z' || x >= 'A' && x <= 'Z') {
+			b[i] = '_'
+		}
+	}
+	return string(b[:min(len(b), 64)])
+}
+
 func pick(first, second string) string {
 	if first != "" {
 		return first
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -52,9 +52,20 @@
 		t.Errorf("%v: %+v", err, c) // discovery is the file's, which can be replaced
 	}
 	if c, err = Parse(nil, func(k string) string { return env[k] }); err != nil || c.Limits.Sockets != DefaultSockets ||
-		c.Discovery != "127.0.0.9:2" {
+		c.Discovery != "127.0.0.9:2" || c.Admin != "" || c.Passed != 0 || c.State != "" {
 		t.Errorf("without a file: %v: %+v", err, c)
 	}
+	env[EnvAdmin], env[EnvPassed], env[EnvState] = "127.0.0.9:3", "3", "/tmp/x"
+	c, err = Parse([]byte(strings.Replace(good, `"seed"`, `"admin_addr":"127.0.0.4:1","seed"`, 1)), func(k string) string { return env[k] })
+	if err != nil || c.Admin != "127.0.0.9:3" || c.Passed != 3 || c.State != "/tmp/x/milletvane-n9-127_0_0_9_1" {
+		t.Errorf("%v: %+v", err, c)
+	}
+	for _, fd := range []string{"x", "2", "-1", "3 "} {
+		env[EnvPassed] = fd
+		if _, err := Parse([]byte(good), func(k string) string { return env[k] }); err == nil || !strings.Contains(err.Error(), EnvPassed) {
+			t.Errorf("descriptor %q: %v", fd, err)
+		}
+	}
 }
 
 // Whoever mistypes a value reads which one it was.
@@ -68,6 +79,8 @@
 		{`"memory_mb":192`, `"memory_mb":0`, "limits.memory_mb"},
 		{`"cores":1.0`, `"cores":-1`, "limits.cores"},
 		{`8c1f30d27a5be964`, `xyz`, "seed"},
+		{`"seed"`, `"admin_addr":"nowhere","seed"`, "admin_addr"},
+		{`"limits":{"cores":1.0,"memory_mb":192,"sockets":1136}`, `"admin_addr":"127.0.0.4:1","limits":{"sockets":80}`, "limits.sockets"},
 		{`"id":"s-5be2a07c"`, `"id":""`, "known"},
 		{`"idempotent"`, `"perhaps"`, "settings.classes.0.effect"},
 		{`"mode":"pass"`, `"mode":"both"`, "settings.family_info.mode"},
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,12 +14,16 @@
 
 	"example.org/milletvane/config"
 	"example.org/milletvane/config/operator"
+	"example.org/milletvane/internal/admin"
+	"example.org/milletvane/internal/ban"
 	"example.org/milletvane/internal/discovery"
 	"example.org/milletvane/internal/drive"
 	"example.org/milletvane/internal/engine"
 	"example.org/milletvane/internal/follow"
+	"example.org/milletvane/internal/handover"
 	"example.org/milletvane/internal/line/backend"
 	"example.org/milletvane/internal/line/front"
+	"example.org/milletvane/internal/metrics"
 	natsbackend "example.org/milletvane/internal/nats/backend"
 	"example.org/milletvane/internal/nats/codec"
 	natsfront "example.org/milletvane/internal/nats/front"
@@ -44,6 +48,9 @@
 	}
 	front   atomic.Pointer[natsfront.Front] // while it runs
 	watcher *discovery.Watcher
+	figures *metrics.Set
+	bans    *ban.Store
+	serving atomic.Bool // clients' connections are taken, and no stop has been asked for
 }
 
 // Option changes what New takes by default.
@@ -71,18 +78,21 @@
 	if err != nil {
 		return nil, fmt.Errorf("gateway: %w", err)
 	}
-	attempts := backend.New(backend.Options{
-		ConnectTimeout: c.Node.ConnectTimeout, TellsLoad: c.Node.TellsLoad, TellsDelay: c.Node.TellsDelay,
-	})
 	g.watcher = discovery.New(c.Discovery, c.Known, g.logger)
 	classes := make([]string, len(c.Rules.Classes))
 	for i, class := range c.Rules.Classes {
 		classes[i] = class.Name
 	}
+	g.figures = metrics.New(classes)
+	g.bans = ban.New(c.State, g.logger)
+	g.bans.Connect(func(id string, out bool, done func()) { g.engine.Post(engine.Banned{Name: id, Out: out, Done: done}) })
+	attempts := backend.New(backend.Options{
+		ConnectTimeout: c.Node.ConnectTimeout, TellsLoad: c.Node.TellsLoad, TellsDelay: c.Node.TellsDelay, Forwards: &g.figures.Forwards,
+	})
 	g.engine = drive.New(engine.New(engine.Options{
 		Sockets: c.Limits.ForClients(), Openings: c.Limits.Idle(), Classes: classes, RetryAfter: c.Rules.MaxRetryAfter, DefaultWait: c.Node.LongestWait, AnswerSlack: c.Node.AnswerSlack,
 		Pass: c.Node.Pass, TellsDelay: c.Node.TellsDelay, MessageAim: c.Node.MessageAim, Probes: c.Node.Probes, Drain: c.Drain,
-		Logger: g.logger,
+		Figures: g.figures, Logger: g.logger,
 	}, balancer, g, g.watcher, attempts))
 	g.lines = attempts
 	if n := g.nat; n != nil {
@@ -167,6 +177,11 @@
 		g.engine.Post(ev)
 		return
 	}
+	ids := make([]string, len(l.Servers))
+	for i := range l.Servers {
+		ids[i] = l.Servers[i].Name
+	}
+	g.bans.Listed(ids)
 	g.follow.Lock()
 	defer g.follow.Unlock() // lists reach the engine in the order in which they are followed
 	g.followed(g.follow.Apply(g.clock(), l))
@@ -206,10 +221,26 @@
 	}
 	defer conns.Close()
 	g.lines.Connect(g.engine, conns)
-	f, err := front.Listen(g.config.Listen, g.engine, conns)
+	if g.config.Passed > 0 {
+		if err := handover.Socket(g.config.Passed, g.config.Listen); err != nil {
+			return fmt.Errorf("%s: %w", config.EnvPassed, err)
+		}
+	}
+	if g.config.Admin != "" {
+		a, err := admin.Listen(g.config.Admin, admin.Options{Ready: g.Ready, Figures: g.figures.Append, Set: g.bans.Set, Logger: g.logger})
+		if err != nil {
+			return fmt.Errorf("admin_addr: listen %s: %w", g.config.Admin, err)
+		}
+		defer a.Close()
+	}
+	f, err := g.listen(conns)
 	if err != nil {
 		return fmt.Errorf("listen %s: %w", g.config.Listen, err)
 	}
+	if g.config.Passed > 0 {
+		// What waits in the queue that is shared goes to the process that follows.
+		defer context.AfterFunc(ctx, f.Close)()
+	}
 	if g.nats != nil {
 		g.nats.Connect(g.engine, conns)
 		n, err := natsfront.Listen(g.config.Name, *g.nat, g.engine, g.nats, conns, g.logger)
@@ -230,7 +261,11 @@
 	if g.config.Known != nil {
 		stored = g.config.Known.List(rules.Stored)
 	}
+	g.bans.Look() // before the list: no server is used that staff took out
 	g.post(stored)
+	wg.Go(func() { g.bans.Run(watching) })
+	g.serving.Store(true)
+	defer context.AfterFunc(ctx, func() { g.serving.Store(false) })()
 	g.logger.Info("serving", "name", g.config.Name, "listen", f.Addr(), "discovery", g.config.Discovery,
 		"pass", g.config.Node.Pass, "connections", g.config.Limits.Connections())
 	g.engine.Run(ctx, g.clock)
@@ -240,6 +275,16 @@
 	return nil
 }
 
+// Ready reports whether clients can be served: the list and what staff said of it are known, and no stop was asked for.
+func (g *Gateway) Ready() bool { return g.serving.Load() && g.engine.Ready() }
+
+func (g *Gateway) listen(conns *reactor.Group) (*front.Front, error) {
+	if g.config.Passed > 0 {
+		return front.Take(g.config.Passed, g.config.Listen, g.engine, conns)
+	}
+	return front.Listen(g.config.Listen, g.engine, conns)
+}
+
 // clock tells Unix time, as discovery does, but never steps back.
 func clock() func() time.Duration {
 	start := time.Now()
--- /dev/null
+++ b/gateway/upgrade_test.go
@@ -0,0 +1,217 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"example.org/milletvane/config"
+	"example.org/milletvane/gateway"
+	"example.org/milletvane/internal/standin"
+)
+
+// platform holds the clients' listening socket and starts processes of one gateway on it.
+type platform struct {
+	t        *testing.T
+	listener *net.TCPListener
+	server   *peer
+	catalog  *standin.Catalog
+	temp     string
+	opens    int
+}
+
+// process is one of them.
+type process struct {
+	admin string
+	stop  context.CancelFunc
+	done  chan error
+}
+
+func newPlatform(t *testing.T) *platform {
+	t.Parallel()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	p := &platform{t: t, listener: l.(*net.TCPListener), server: newPeer(t), temp: t.TempDir()}
+	if p.catalog, err = standin.NewCatalog(p.node(standin.InService)); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.catalog.Close)
+	return p
+}
+
+func (p *platform) node(state string) standin.Node {
+	return standin.Node{ID: "s-00000001", Addr: p.server.l.Addr().String(), State: state, Weight: 1}
+}
+
+func (p *platform) start() *process {
+	p.t.Helper()
+	raw, err := p.listener.SyscallConn()
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	var fd int
+	raw.Control(func(f uintptr) { fd, err = unix.Dup(int(f)) })
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	r := &process{admin: freeAddr(p.t), done: make(chan error, 1)}
+	env := map[string]string{config.EnvPassed: strconv.Itoa(fd), config.EnvState: p.temp, config.EnvAdmin: r.admin}
+	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"settings":{"caps":{"max_attempts":2,"retry_after":true,
+	 "max_retry_after_ns":1000000000},"discovery":"ask","family_info":{"mode":"pass"},
+	 "classes":[{"name":"c","effect":"idempotent","group":"all","give_up_ns":100000000,"slo_ns":90000000000}]}}`,
+		p.listener.Addr(), p.catalog.Addr())
+	c, err := config.Parse([]byte(text), func(k string) string { return env[k] })
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	g, err := gateway.New(*c, gateway.WithLogger(slog.New(slog.DiscardHandler)))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	r.stop = cancel
+	go func() { r.done <- g.Run(ctx) }()
+	p.t.Cleanup(func() {
+		cancel()
+		select {
+		case err := <-r.done:
+			if err != nil {
+				p.t.Error(err)
+			}
+		case <-time.After(patience):
+			p.t.Error("the process did not stop")
+		}
+	})
+	p.until("ready", func() bool { status, _ := r.call(http.MethodGet, "/-/ready"); return status == 200 })
+	return r
+}
+
+func (p *platform) until(what string, ok func() bool) {
+	p.t.Helper()
+	for end := time.Now().Add(patience); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			p.t.Fatal("never " + what)
+		}
+	}
+}
+
+func (r *process) call(method, path string) (status int, body string) {
+	q, err := http.NewRequest(method, "http://"+r.admin+path, nil)
+	if err != nil {
+		return 0, ""
+	}
+	a, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return 0, ""
+	}
+	defer a.Body.Close()
+	b, _ := io.ReadAll(a.Body)
+	return a.StatusCode, string(b)
+}
+
+func (p *platform) dial() *end {
+	p.t.Helper()
+	c, err := net.Dial("tcp", p.listener.Addr().String())
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	return newEnd(p.t, c)
+}
+
+func (p *platform) opening() string {
+	p.opens++
+	return fmt.Sprintf("OPEN 2%d 0a c=c,d=60000\r\n", p.opens)
+}
+
+func (p *platform) serve(client *end) {
+	p.t.Helper()
+	server := p.server.accept()
+	server.line()
+	server.send("UP r\r\n")
+	client.expect("UP r\r\n")
+}
+
+// While one process follows another every connection that comes is served, those included that the old one holds half
+// read; what the old one accepted it keeps.
+func TestNoConnectionIsLostInAnUpgrade(t *testing.T) {
+	p := newPlatform(t)
+	old := p.start()
+	var half []*end
+	for range 4 {
+		half = append(half, p.dial())
+		half[len(half)-1].send("OPEN 9" + strconv.Itoa(len(half)) + " 0a c=c,")
+	}
+	next := p.start()
+	for i := range 40 {
+		if i == 20 {
+			old.stop()
+			p.until("closed to operators", func() bool { status, _ := old.call(http.MethodGet, "/-/ready"); return status != 200 })
+		}
+		client := p.dial()
+		client.send(p.opening())
+		p.serve(client)
+		client.c.Close()
+	}
+	for _, client := range half {
+		client.send("d=60000\r\n")
+		p.serve(client)
+	}
+	if status, _ := next.call(http.MethodGet, "/-/ready"); status != 200 {
+		t.Errorf("the new process says %d", status)
+	}
+	flags := 0
+	raw, _ := p.listener.SyscallConn()
+	raw.Control(func(f uintptr) { flags, _ = unix.GetsockoptInt(int(f), unix.SOL_SOCKET, unix.SO_ACCEPTCONN) })
+	if flags == 0 {
+		t.Error("the platform's socket no longer listens")
+	}
+}
+
+// A ban holds across an upgrade, and may be lifted at the process that was not given it.
+func TestBanAcrossAnUpgrade(t *testing.T) {
+	p := newPlatform(t)
+	old := p.start()
+	if status, _ := old.call(http.MethodPost, "/-/servers/s-00000002/disable"); status != 404 {
+		t.Errorf("an id that was never listed: %d", status)
+	}
+	if status, _ := old.call(http.MethodPost, "/-/servers/s-00000001/disable"); status != 200 {
+		t.Fatalf("taken out with %d", status)
+	}
+	if left, _ := filepath.Glob(filepath.Join(p.temp, "*", "out-*")); len(left) != 1 {
+		t.Fatalf("files of bans: %v", left)
+	}
+	next := p.start()
+	for range 4 {
+		client := p.dial()
+		client.send(p.opening())
+		if answer := client.line(); !strings.HasPrefix(answer, "BUSY") {
+			t.Fatalf("answered %q while the only server is out", answer)
+		}
+	}
+	for _, r := range []*process{old, next} {
+		if _, figures := r.call(http.MethodGet, "/-/metrics"); !strings.Contains(figures, "edge_proxy.ejected:1|g") {
+			t.Errorf("figures: %s", figures)
+		}
+	}
+	if status, _ := next.call(http.MethodPost, "/-/servers/s-00000001/enable"); status != 200 {
+		t.Fatalf("put back with %d", status)
+	}
+	p.until("back at both", func() bool {
+		_, figures := old.call(http.MethodGet, "/-/metrics")
+		return strings.Contains(figures, "edge_proxy.ejected:0|g")
+	})
+}
+
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -108,8 +108,8 @@
 							return err
 						}
 					}
-					_, err = fmt.Fprintf(out, "name=%s listen=%s discovery=%s classes=%d gateways=%d connections=%d drain=%v\n",
-						c.Name, c.Listen, c.Discovery, len(c.Rules.Classes), c.Rules.Gateways, c.Limits.Connections(), c.Drain)
+					_, err = fmt.Fprintf(out, "name=%s listen=%s discovery=%s admin_addr=%s passed_socket=%d classes=%d gateways=%d connections=%d drain=%v\n",
+						c.Name, c.Listen, c.Discovery, c.Admin, c.Passed, len(c.Rules.Classes), c.Rules.Gateways, c.Limits.Connections(), c.Drain)
 					return err
 				},
 			},
--- a/internal/engine/act.go
+++ b/internal/engine/act.go
@@ -29,6 +29,7 @@
 	case rules.Refuse:
 		if r, ok := e.requests.Get(slot.ID(a.ID)); ok && r.phase == waiting {
 			e.counts.refused++
+			r.class.Declined.Add(1)
 			r.client.Refuse(a.RetryAfter)
 			e.free(r)
 		}
--- a/internal/engine/api.go
+++ b/internal/engine/api.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"time"
 
+	"example.org/milletvane/internal/metrics"
 	"example.org/milletvane/internal/slot"
 	"example.org/milletvane/rules"
 )
@@ -127,6 +128,12 @@
 		Mode    rules.ListMode
 		Servers []Server
 	}
+	// Banned takes a server out by hand, whatever the list says of it, or puts it back. Done is called once that holds.
+	Banned struct {
+		Name string
+		Out  bool
+		Done func()
+	}
 	// Stop begins the end: what comes is still served, until Drain has gone by.
 	Stop struct{}
 )
@@ -143,6 +150,7 @@
 func (Load) event()     {}
 func (Answered) event() {}
 func (List) event()     {}
+func (Banned) event()   {}
 func (Stop) event()     {}
 
 // Options are what an engine goes by.
@@ -158,5 +166,6 @@
 	MessageAim  time.Duration // the shortest wanted time of a message; 0: none stated
 	Probes      bool          // servers may be asked for their load
 	Drain       time.Duration // from Stop to the end
+	Figures     *metrics.Set  // what is reported; nil: nobody reads it
 	Logger      *slog.Logger
 }
--- /dev/null
+++ b/internal/engine/banned_test.go
@@ -0,0 +1,204 @@
+package engine
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"example.org/milletvane/internal/metrics"
+	"example.org/milletvane/internal/slot"
+	"example.org/milletvane/rules"
+)
+
+func (w *world) ban(name string, out bool) {
+	done := false
+	w.tell(Banned{Name: name, Out: out, Done: func() { done = true }})
+	if !done {
+		w.t.Helper()
+		w.t.Errorf("ban of %s: not said to hold", name)
+	}
+}
+
+func (w *world) entry(id rules.ServerID, state rules.ServerState, started time.Duration) {
+	w.tell(List{Mode: rules.Changes, Servers: []Server{{Name: fmt.Sprint("s", id), Addr: fmt.Sprint("a", id),
+		Server: rules.Server{ID: id, State: state, Started: started}}}})
+}
+
+// sentTo lists the servers that some requests go to.
+func (w *world) sentTo(n int) map[string]int {
+	to := map[string]int{}
+	for i := range n {
+		w.tell(Asked{Client: w.client("x"), Request: Request{Class: "c", Key: fmt.Sprint(i), Wait: 3 * time.Second}})
+		to[w.link.a.Addr]++
+		w.ended(w.link, rules.OK)
+	}
+	w.did = nil
+	return to
+}
+
+// What staff took out gets nothing until they put it back, whatever the list says of it in between.
+func TestBanHoldsWhateverTheListSays(t *testing.T) {
+	w := newWorld(t, 3, nil)
+	w.ban("s2", true)
+	for name, news := range map[string]func(){
+		"nothing":    func() {},
+		"ready":      func() { w.entry(2, rules.Ready, 0) },
+		"drained":    func() { w.entry(2, rules.Draining, 0) },
+		"restarted":  func() { w.entry(2, rules.Ready, w.now) },
+		"gone":       func() { w.entry(2, rules.Gone, 0) },
+		"back":       func() { w.entry(2, rules.Gone, 0); w.entry(2, rules.Ready, w.now) },
+		"called out": func() { w.ban("s2", true) },
+	} {
+		news()
+		w.pass(300 * time.Millisecond)
+		if to := w.sentTo(40); to["a2"] > 0 {
+			t.Errorf("%s: %d sent to a server that is out", name, to["a2"])
+		}
+	}
+	w.entry(2, rules.Ready, 0)
+	w.ban("s2", false)
+	w.pass(time.Second)
+	if to := w.sentTo(40); to["a2"] == 0 {
+		t.Error("nothing sent to a server that is back")
+	}
+	w.entry(2, rules.Draining, 0)
+	w.ban("s2", true)
+	w.ban("s2", false)
+	if to := w.sentTo(40); to["a2"] > 0 {
+		t.Error("the call back lifted the list's own drain")
+	}
+}
+
+// A ban may come before the server is listed here: the other process had listed it.
+func TestBanBeforeTheList(t *testing.T) {
+	w := newWorld(t, 2, nil)
+	w.ban("s3", true)
+	w.entry(3, rules.Ready, 0)
+	if to := w.sentTo(40); to["a3"] > 0 {
+		t.Error("sent to a server that was out before it was listed")
+	}
+}
+
+// Failures of the time when a server was out are not held against it.
+func TestReturnedServerHasACleanRecord(t *testing.T) {
+	w := newWorld(t, 3, nil)
+	var held []*fakeLink
+	for i := range 2 {
+		w.arrive(w.client("x"), Request{Key: fmt.Sprint("y", i)})
+		w.wentUp(w.link)
+		held = append(held, w.link)
+	}
+	for _, l := range held {
+		name := "s" + strings.TrimPrefix(l.a.Addr, "a")
+		w.ban(name, true)
+		w.ended(l, rules.Reset)
+		w.ban(name, false)
+		if w.e.rules.Avoids(l.a.Server) {
+			t.Errorf("%s is ejected for its restart", name)
+		}
+	}
+}
+
+// The list is late to tell of a restart during the ban: until it does a server is as cold as if it had just started,
+// but one that still holds a connection from before has not been restarted.
+func TestReturnedServerIsCold(t *testing.T) {
+	w := newWorld(t, 2, nil)
+	w.entry(1, rules.Ready, time.Minute)
+	w.ban("s1", true)
+	w.ban("s1", false)
+	if got := w.e.servers[1].shown().Started; got != w.now {
+		t.Errorf("taken to have started at %v, it is %v", got, w.now)
+	}
+	w.entry(1, rules.Ready, time.Minute) // still late
+	if got := w.e.servers[1].shown().Started; got != w.now {
+		t.Errorf("an old start moved it to %v", got)
+	}
+	w.entry(1, rules.Ready, 2*time.Minute)
+	if got := w.e.servers[1].shown().Started; got != 2*time.Minute {
+		t.Errorf("the list's start is not gone by: %v", got)
+	}
+	w.arrive(w.client("x"), Request{Key: "k"})
+	w.wentUp(w.link)
+	at := w.link.a.Server
+	was := w.e.servers[at].shown().Started
+	w.ban(fmt.Sprint("s", at), true)
+	w.pass(time.Second)
+	w.ban(fmt.Sprint("s", at), false)
+	if got := w.e.servers[at].shown().Started; got != was {
+		t.Errorf("a server that kept its connection is taken to have started at %v", got)
+	}
+}
+
+// Each request taken stands under one figure, whatever comes of it, but for those whose clients left without an answer.
+func TestFiguresAddUp(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		f := metrics.New([]string{"c"})
+		w := newWorld(t, 3, func(o *Options) { o.Sockets, o.Figures = 8, f })
+		taken, left := 0, 0
+		var clients []*fakeClient
+		var links []*fakeLink
+		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+			w.link = nil
+			switch rapid.IntRange(0, 8).Draw(rt, "step") {
+			case 0, 1, 2:
+				c := w.client("x")
+				before := w.e.requests.Len()
+				w.tell(Accepted{c})
+				if c.Ticket.id == 0 || w.e.requests.Len() == 0 && before == 0 {
+					break // turned away unasked
+				}
+				clients = append(clients, c)
+				taken++
+				w.tell(Arrived{Client: c, Request: Request{ID: fmt.Sprint(rapid.IntRange(0, 5).Draw(rt, "id")), Class: "c", Key: "k",
+					Wait: time.Duration(rapid.IntRange(1, 3000).Draw(rt, "wait")) * time.Millisecond}})
+			case 3:
+				if len(links) > 0 {
+					if l := links[rapid.IntRange(0, len(links)-1).Draw(rt, "link")]; !l.up {
+						w.wentUp(l)
+					}
+				}
+			case 4:
+				if len(links) > 0 {
+					w.ended(links[rapid.IntRange(0, len(links)-1).Draw(rt, "link")],
+						rules.Result(rapid.IntRange(int(rules.Errored), int(rules.Cancelled)).Draw(rt, "result")))
+				}
+			case 5:
+				w.pass(time.Duration(rapid.IntRange(1, 2000).Draw(rt, "ms")) * time.Millisecond)
+			case 6, 7:
+				if len(clients) > 0 {
+					c := clients[rapid.IntRange(0, len(clients)-1).Draw(rt, "client")]
+					if r := w.e.of(c); r != nil && r.phase == waiting {
+						left++
+					}
+					w.tell(Left{c})
+				}
+			case 8:
+				w.ban(fmt.Sprint("s", rapid.IntRange(1, 3).Draw(rt, "server")), rapid.Bool().Draw(rt, "out"))
+			}
+			if w.link != nil {
+				links = append(links, w.link)
+			}
+			waits, stands := 0, 0
+			w.e.requests.All(func(_ slot.ID, r *request) bool {
+				switch r.phase {
+				case waiting:
+					waits++
+				case open, leaving:
+					stands++
+				}
+				return true
+			})
+			c := f.Class("c")
+			answered := int(c.Succeeded.Load() + c.Declined.Load() + c.Aborted.Load())
+			if taken != answered+waits+left {
+				rt.Fatalf("taken %d, answered %d, waiting %d, left %d", taken, answered, waits, left)
+			}
+			if got := int(f.Outstanding.Load()); got != waits+stands {
+				rt.Fatalf("outstanding %d, %d wait and %d stand", got, waits, stands)
+			}
+		}
+	})
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"example.org/milletvane/internal/deadline"
+	"example.org/milletvane/internal/metrics"
 	"example.org/milletvane/internal/slot"
 	"example.org/milletvane/rules"
 )
@@ -66,7 +67,9 @@
 	deadlines deadline.Queue[due]
 	servers   map[rules.ServerID]*server
 	names     map[string]rules.ServerID
-	queue     []rules.Event // outcomes that follow at once from actions
+	banned    map[string]bool // names of servers that are out by hand, listed or not
+	unnamed   metrics.Class   // for what the settings do not name; nobody reads it
+	queue     []rules.Event   // outcomes that follow at once from actions
 	stopping  bool
 	stoppedAt time.Duration
 	ended     bool
@@ -84,6 +87,9 @@
 	if opts.Logger == nil {
 		opts.Logger = slog.Default()
 	}
+	if opts.Figures == nil {
+		opts.Figures = metrics.New(opts.Classes)
+	}
 	classes := make(map[string]bool, len(opts.Classes))
 	for _, c := range opts.Classes {
 		classes[c] = true
@@ -91,7 +97,7 @@
 	return &Engine{
 		opts: opts, classes: classes, named: map[string]slot.ID{}, rules: balancer, backend: backend, lister: lister, prober: prober,
 		requests: slot.New[*request](opts.Sockets),
-		servers:  map[rules.ServerID]*server{}, names: map[string]rules.ServerID{},
+		servers:  map[rules.ServerID]*server{}, names: map[string]rules.ServerID{}, banned: map[string]bool{},
 	}
 }
 
@@ -131,6 +137,9 @@
 	case Rejected:
 		if r := e.of(ev.Client); r != nil {
 			e.counts.rejected++
+			if r.phase == waiting {
+				r.class.Aborted.Add(1)
+			}
 			e.drop(r)
 		}
 	case Up:
@@ -156,6 +165,8 @@
 		}
 	case List:
 		e.onList(ev)
+	case Banned:
+		e.onBanned(ev)
 	case Stop:
 		e.onStop()
 	}
@@ -194,6 +205,7 @@
 		case dueTick:
 			e.deadlines.Add(e.now+tickEvery, due{kind: dueTick})
 			e.look()
+			e.countServers()
 			if e.stopping && e.requests.Len() == 0 && e.now-e.stoppedAt >= quietFor {
 				e.end()
 			}
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"example.org/milletvane/internal/deadline"
+	"example.org/milletvane/internal/metrics"
 	"example.org/milletvane/internal/slot"
 	"example.org/milletvane/rules"
 )
@@ -22,6 +23,7 @@
 	name   string // as its client calls it; empty: nothing
 	client Client
 	phase  phase
+	class  *metrics.Class // where its answer is counted, once it has asked
 
 	carried  bool
 	deadline time.Duration
@@ -51,11 +53,17 @@
 	if r.phase == opening {
 		e.openings--
 	}
+	e.countTaken()
 	if e.named[r.name] == r.id {
 		delete(e.named, r.name)
 	}
 }
 
+// countTaken reports how many requests are waiting and connections are open.
+func (e *Engine) countTaken() {
+	e.opts.Figures.Outstanding.Store(int64(e.requests.Len() - e.openings))
+}
+
 // close ends a connection that has asked for nothing.
 func (e *Engine) close(r *request) {
 	e.counts.closed++
@@ -107,14 +115,19 @@
 		return
 	}
 	q := ev.Request
+	if r.class = e.opts.Figures.Class(q.Class); r.class == nil {
+		r.class = &e.unnamed
+	}
 	if !e.usable(q) {
 		e.counts.rejected++
+		r.class.Aborted.Add(1)
 		r.client.Fail()
 		e.free(r)
 		return
 	}
 	if !e.room(r) { // for its server's side
 		e.counts.refused++
+		r.class.Declined.Add(1)
 		r.client.Refuse(e.opts.RetryAfter)
 		e.free(r)
 		return
@@ -128,6 +141,7 @@
 		r.name, e.named[q.ID] = q.ID, r.id
 	}
 	e.openings--
+	e.countTaken()
 	if q.Wait <= 0 {
 		q.Wait = e.opts.DefaultWait
 	}
@@ -184,6 +198,7 @@
 // fail gives a final answer that promises nothing.
 func (e *Engine) fail(r *request) {
 	e.counts.failed++
+	r.class.Aborted.Add(1)
 	r.client.Fail()
 	e.free(r)
 }
@@ -222,6 +237,7 @@
 		return
 	}
 	e.counts.up++
+	r.class.Succeeded.Add(1)
 	r.phase = open
 	e.deadlines.Remove(r.answer)
 	e.deadlines.Remove(r.timeout)
@@ -250,6 +266,7 @@
 		// To the rules an answer is as good as a connection that stands: they tell a fault of one server from one that
 		// all share by how many stand.
 		e.tell(rules.Opened{ID: out.ID, Attempt: out.Attempt, Server: r.server, Elapsed: out.Elapsed})
+		r.class.Succeeded.Add(1)
 	}
 	switch {
 	case settled:
@@ -276,6 +293,7 @@
 	}
 	e.opts.Logger.Error("answer overdue", "attempts", r.attempts)
 	e.counts.failed++
+	r.class.Aborted.Add(1)
 	r.client.Fail()
 	e.drop(r)
 }
--- a/internal/engine/server.go
+++ b/internal/engine/server.go
@@ -15,9 +15,23 @@
 	meter meter
 
 	state   rules.ServerState // as the rules were last told
-	started time.Duration
-	entry   rules.Server
-	leaving bool // it has said that it drains, whatever the list says, until it starts anew
+	started time.Duration     // as listed
+	entry   rules.Server      // as listed
+	leaving bool              // it has said that it drains, whatever the list says, until it starts anew
+
+	banned      bool          // out by hand
+	bannedStart time.Duration // its start as it was known when it was taken out
+	coldSince   time.Duration // taken for its start until the list tells of a later one than bannedStart; 0: it tells
+}
+
+// shown is a server's entry as the rules are to see it: what the list cannot know, or is late to tell, goes over it.
+func (s *server) shown() rules.Server {
+	n := s.entry
+	if (s.leaving || s.banned) && n.State == rules.Ready {
+		n.State = rules.Draining
+	}
+	n.Started = max(n.Started, s.coldSince)
+	return n
 }
 
 func (e *Engine) onList(ev List) {
@@ -50,7 +64,7 @@
 			list.Servers = append(list.Servers, n.Server)
 			continue
 		case s == nil:
-			s = &server{name: n.Name, addr: n.Addr, started: n.Started}
+			s = &server{name: n.Name, addr: n.Addr, started: n.Started, banned: e.banned[n.Name], bannedStart: n.Started}
 			e.servers[n.ID] = s
 			e.names[n.Name] = n.ID
 		default:
@@ -59,18 +73,20 @@
 		if s.leaving && s.started != n.Started {
 			s.leaving = false
 		}
-		if s.leaving && n.State == rules.Ready {
-			n.State = rules.Draining // the list is late
+		if n.Started != s.bannedStart {
+			s.coldSince = 0 // the list has caught up
 		}
-		s.started = n.Started
-		if s.state == rules.Ready && n.State == rules.Draining {
+		s.started, s.entry = n.Started, n.Server
+		shown := s.shown()
+		if s.state == rules.Ready && shown.State == rules.Draining {
 			drained = append(drained, n.ID)
 		}
-		s.state, s.entry = n.State, n.Server
-		list.Servers = append(list.Servers, n.Server)
+		s.state = shown.State
+		list.Servers = append(list.Servers, shown)
 	}
 	e.tell(list)
 	e.tellMovers(drained)
+	e.countServers()
 	if ev.Mode == rules.Complete || len(e.servers) > 0 {
 		e.ready.Store(true)
 	}
@@ -82,9 +98,19 @@
 	if s == nil || s.leaving || s.state != rules.Ready {
 		return
 	}
-	s.leaving, s.state, s.entry.State = true, rules.Draining, rules.Draining
-	e.tell(rules.List{Mode: rules.Changes, Servers: []rules.Server{s.entry}})
-	e.tellMovers([]rules.ServerID{id})
+	s.leaving = true
+	e.show(id, s)
+}
+
+// show tells the rules of a server anew, and the clients that can be moved if it leaves.
+func (e *Engine) show(id rules.ServerID, s *server) {
+	was := s.state
+	shown := s.shown()
+	s.state = shown.State
+	e.tell(rules.List{Mode: rules.Changes, Servers: []rules.Server{shown}})
+	if was == rules.Ready && s.state == rules.Draining {
+		e.tellMovers([]rules.ServerID{id})
+	}
 }
 
 // tellMovers tells the clients whose servers leave. Those that can't be moved by their front are sent away by the
@@ -103,6 +129,56 @@
 	})
 }
 
+// onBanned takes a server out by hand or puts it back. Staff restart a server meanwhile, and the list may be late to say
+// so: unless a connection of ours has lived through, one that is put back is taken to have started just now. It guards
+// against a cold server that is sent what a warm one bears.
+func (e *Engine) onBanned(ev Banned) {
+	if ev.Out {
+		e.banned[ev.Name] = true
+	} else {
+		delete(e.banned, ev.Name)
+	}
+	if id, ok := e.names[ev.Name]; ok {
+		if s := e.servers[id]; s.banned != ev.Out {
+			s.banned = ev.Out
+			if ev.Out {
+				s.bannedStart, s.coldSince = s.started, 0
+			} else {
+				if s.started == s.bannedStart && !e.holds(id) {
+					s.coldSince = e.now
+				}
+				e.tell(rules.Returned{Server: id})
+			}
+			e.show(id, s)
+			e.countServers()
+		}
+	}
+	if ev.Done != nil {
+		ev.Done()
+	}
+}
+
+// holds reports whether a connection is open at a server.
+func (e *Engine) holds(id rules.ServerID) (held bool) {
+	e.requests.All(func(_ slot.ID, r *request) bool {
+		held = r.phase == open && r.server == id
+		return !held
+	})
+	return held
+}
+
+// countServers reports how many servers are listed, and how many of these are avoided.
+func (e *Engine) countServers() {
+	avoided := 0
+	for id, s := range e.servers {
+		if s.banned || e.rules.Avoids(id) {
+			avoided++
+		}
+	}
+	e.opts.Figures.Discovered.Store(int64(len(e.servers)))
+	e.opts.Figures.Ejected.Store(int64(avoided))
+}
+
 func (e *Engine) forget(id rules.ServerID, s *server) {
 	e.prober.Forget(id)
 	delete(e.servers, id)
--- a/internal/engine/stop.go
+++ b/internal/engine/stop.go
@@ -44,8 +44,7 @@
 			if r.link != nil {
 				r.link.Abandon()
 			}
-			r.client.Fail()
-			e.free(r)
+			e.fail(r)
 		}
 		return true
 	})
--- a/internal/line/backend/backend.go
+++ b/internal/line/backend/backend.go
@@ -3,6 +3,7 @@
 package backend
 
 import (
+	"sync/atomic"
 	"time"
 
 	"example.org/milletvane/internal/engine"
@@ -45,10 +46,14 @@
 	ConnectTimeout time.Duration // 0: as long as the attempt has
 	TellsLoad      bool
 	TellsDelay     bool
+	Forwards       *atomic.Int64 // counts attempts written whole; nil: nobody reads it
 }
 
 // New returns a Backend. Connect comes before the first Send.
 func New(o Options) *Backend {
+	if o.Forwards == nil {
+		o.Forwards = new(atomic.Int64)
+	}
 	return &Backend{options: o, probes: map[rules.ServerID]*probe{}}
 }
 
--- a/internal/line/backend/link.go
+++ b/internal/line/backend/link.go
@@ -18,6 +18,7 @@
 	client        Client
 
 	// Of the server's lines; only its own callbacks touch these.
+	sent bool       // the opening line was written whole, and counted
 	head []byte     // of the line that has come in part
 	last codec.Word // of the last line
 }
@@ -33,6 +34,16 @@
 	}
 	if l.Step(relay.Dialing, relay.Pending) { // one that is given up meanwhile carries nothing
 		c.Send(l.client.Forward(make([][]byte, 0, 3), l.attempt.Wait-l.Age())...)
+		l.written()
+	}
+}
+
+// written counts an attempt once its last byte is with the kernel. One that was not at first is looked at again when
+// something comes of it.
+func (l *Link) written() {
+	if !l.sent && l.Conn().Waiting() == 0 {
+		l.sent = true
+		l.backend.options.Forwards.Add(1)
 	}
 }
 
@@ -66,6 +77,7 @@
 func (l *Link) OnEnd(c *reactor.Conn, err error) {
 	switch l.Phase() {
 	case relay.Pending:
+		l.written()
 		// What breaks before the last byte is written never ran; what breaks after may have.
 		if c.Waiting() > 0 {
 			l.finish(rules.ConnectFailed)
@@ -108,6 +120,7 @@
 
 // answer takes the server's first line once it is whole; the engine ends an attempt whose answer does not come in time.
 func (l *Link) answer(b []byte) int {
+	l.written()
 	i := bytes.IndexByte(b[:min(len(b), codec.MaxLine)], '\n')
 	if i < 0 {
 		if len(b) < codec.MaxLine {
--- a/internal/line/front/front.go
+++ b/internal/line/front/front.go
@@ -23,12 +23,22 @@
 func Listen(addr string, e Engine, g *reactor.Group) (*Front, error) {
 	f := &Front{engine: e}
 	var err error
-	f.listener, err = g.Listen(addr, func() reactor.Handler { return &Conn{front: f} })
+	f.listener, err = g.Listen(addr, f.accept)
 	return f, err
 }
 
+// Take takes connections from a listening socket that was passed on and is shared; see reactor.Group.Take.
+func Take(fd int, addr string, e Engine, g *reactor.Group) (*Front, error) {
+	f := &Front{engine: e}
+	var err error
+	f.listener, err = g.Take(fd, addr, f.accept)
+	return f, err
+}
+
+func (f *Front) accept() reactor.Handler { return &Conn{front: f} }
+
 // Addr is the address that is listened on.
-func (f *Front) Addr() string { return f.listener.Addr().String() }
+func (f *Front) Addr() string { return f.listener.Addr() }
 
 // Close stops accepting.
 func (f *Front) Close() { f.listener.Close() }
--- a/internal/nats/front/front.go
+++ b/internal/nats/front/front.go
@@ -65,7 +65,7 @@
 }
 
 // Addr is the address that is listened on.
-func (f *Front) Addr() string { return f.listener.Addr().String() }
+func (f *Front) Addr() string { return f.listener.Addr() }
 
 // Close stops accepting.
 func (f *Front) Close() { f.listener.Close() }
--- a/internal/purity/purity_test.go
+++ b/internal/purity/purity_test.go
@@ -21,7 +21,8 @@
 	"rules":                 nil,
 	"internal/slot":         nil,
 	"internal/deadline":     nil,
-	"internal/engine":       {"rules", "internal/slot", "internal/deadline"},
+	"internal/metrics":      nil,
+	"internal/engine":       {"rules", "internal/slot", "internal/deadline", "internal/metrics"},
 	"internal/line/codec":   nil,
 	"internal/nats/codec":   nil,
 	"internal/nats/session": {"internal/nats/codec"},
@@ -92,6 +93,8 @@
 			return 8
 		case p == "gateway":
 			return 7
+		case p == "internal/admin":
+			return 1
 		case p == "internal/standin":
 			return 6
 		case strings.HasSuffix(p, "/front"):
--- a/internal/reactor/reactor.go
+++ b/internal/reactor/reactor.go
@@ -270,7 +270,7 @@
 	group  *Group
 	loop   *loop
 	fd     int
-	addr   net.Addr
+	addr   string
 	accept func() Handler
 
 	mu     sync.Mutex
@@ -296,18 +296,28 @@
 		return nil, err
 	}
 	unix.SetNonblock(fd, true) // Fd has made it wait
-	l := &Listener{group: g, loop: g.loops[0], fd: fd, addr: nl.Addr(), accept: accept}
+	l, err := g.Take(fd, nl.Addr().String(), accept)
+	if err != nil {
+		unix.Close(fd)
+	}
+	return l, err
+}
+
+// Take has a listening socket that does not wait, and that other processes may accept from too: a wakeup whose connection
+// another took brings nothing. The listener closes this descriptor alone.
+func (g *Group) Take(fd int, addr string, accept func() Handler) (*Listener, error) {
+	l := &Listener{group: g, loop: g.loops[0], fd: fd, addr: addr, accept: accept}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	var err error
 	if l.slot, l.gen, err = l.loop.add(fd, l, unix.EPOLLIN); err != nil {
-		unix.Close(fd)
 		return nil, err
 	}
 	return l, nil
 }
 
 // Addr is the address that is listened on.
-func (l *Listener) Addr() net.Addr { return l.addr }
+func (l *Listener) Addr() string { return l.addr }
 
 // Close ends the accepting; connections stay.
 func (l *Listener) Close() {
--- a/internal/reactor/reactor_test.go
+++ b/internal/reactor/reactor_test.go
@@ -58,7 +58,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(l.Close)
-	return l.Addr().String()
+	return l.Addr()
 }
 
 func dial(t *testing.T, addr string) *net.TCPConn {
--- a/rules/api.go
+++ b/rules/api.go
@@ -165,6 +165,9 @@
 	// Expired says that the client is gone; no answer is owed.
 	Expired struct{ ID RequestID }
 
+	// Returned says that a server that was out by hand may serve again: what was held against it is void.
+	Returned struct{ Server ServerID }
+
 	// Timer answers a Wake.
 	Timer struct{ Ref int64 }
 )
@@ -178,6 +181,7 @@
 func (LoadReport) event()   {}
 func (Outcome) event()      {}
 func (Expired) event()      {}
+func (Returned) event()     {}
 func (Timer) event()        {}
 
 // Result is how an attempt ended.
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -106,6 +106,10 @@
 		if s := b.servers[ev.Server]; s != nil {
 			b.onReport(s, ev.Load)
 		}
+	case Returned:
+		if s := b.servers[ev.Server]; s != nil {
+			b.renew(s)
+		}
 	case Outcome:
 		b.onOutcome(ev)
 	case Expired:
@@ -177,9 +181,7 @@
 		i, _ := slices.BinarySearchFunc(b.order, s, byID)
 		b.order = slices.Insert(b.order, i, s)
 	} else if e.Started > s.Started {
-		// A restart: what was known of the old process is void.
-		s.drained, s.strikes, s.ejected, s.ejections, s.probation = false, fading{}, 0, 0, false
-		s.limit, s.pausedUntil, s.tokens, s.tokensAt = 0, 0, 0, b.now
+		b.renew(s) // a restart: what was known of the old process is void
 	}
 	state := e.State
 	e.State = s.State
@@ -190,6 +192,12 @@
 	b.setState(s, state)
 }
 
+// renew forgets what was learned of a server's process.
+func (b *Balancer) renew(s *server) {
+	s.drained, s.strikes, s.ejected, s.ejections, s.probation = false, fading{}, 0, 0, false
+	s.limit, s.pausedUntil, s.tokens, s.tokensAt = 0, 0, 0, b.now
+}
+
 // setState follows the list. Where only draining binds, a server that is called gone, or left out, is in
 // doubt: it keeps its slots, since its own connections and outcomes tell more. One good outcome and it serves
 // as before; until then one attempt at a time may try it, and the first failure confirms the list, as does an
--- a/rules/state.go
+++ b/rules/state.go
@@ -269,6 +269,12 @@
 	return b, nil
 }
 
+// Avoids reports whether a server is out of use by the rules' own choice.
+func (b *Balancer) Avoids(id ServerID) bool {
+	s := b.servers[id]
+	return s != nil && s.ejected > 0
+}
+
 func (b *Balancer) act(a Action) { b.actions = append(b.actions, a) }
 
 func (b *Balancer) logf(format string, args ...any) { b.act(Log{fmt.Sprintf(format, args...)}) }
