--- a/gateway/upgrade_test.go
+++ b/gateway/upgrade_test.go
@@ -214,4 +214,3 @@
 		return strings.Contains(figures, "edge_proxy.ejected:0|g")
 	})
 }
-
