--- a/internal/engine/banned_test.go
+++ b/internal/engine/banned_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -125,7 +126,6 @@
 	at := w.link.a.Server
 	was := w.e.servers[at].shown().Started
 	w.ban(fmt.Sprint("s", at), true)
-	w.pass(time.Second)
 	w.ban(fmt.Sprint("s", at), false)
 	if got := w.e.servers[at].shown().Started; got != was {
 		t.Errorf("a server that kept its connection is taken to have started at %v", got)
@@ -202,3 +202,48 @@
 		}
 	})
 }
+
+// The clients of a server that is out are sent away before it is restarted, a part of them at a time, and what waits
+// there is tried elsewhere.
+func TestBanClearsTheServer(t *testing.T) {
+	w := newWorld(t, 2, func(o *Options) { o.Sockets = 64 })
+	held := map[string]int{}
+	for i := range 16 {
+		w.arrive(w.client("x"), Request{Key: fmt.Sprint(i)})
+		w.wentUp(w.link)
+		held[w.link.a.Addr]++
+	}
+	w.arrive(w.client("waits"), Request{Key: "0"})
+	at := w.link.a.Addr
+	w.did = nil
+	w.ban("s"+strings.TrimPrefix(at, "a"), true)
+	if want := []string{"abandon " + at + "/0", "send " + w.link.a.Addr + "/1"}; !slices.Equal(w.did, want) || w.link.a.Addr == at {
+		t.Errorf("did %q, want %q", w.did, want)
+	}
+	w.did = nil
+	w.pass(300 * time.Millisecond)
+	if n := len(w.did); n == 0 || n > held[at]/2+1 {
+		t.Errorf("%d of %d were moved at once", n, held[at])
+	}
+	w.pass(2 * time.Second)
+	moved := 0
+	for _, d := range w.did {
+		if d == "move x" {
+			moved++
+		}
+	}
+	if moved != held[at] {
+		t.Errorf("%d of %d were moved", moved, held[at])
+	}
+}
+
+// A server that is put back is tried with the next connection, however cold it is, whatever its key.
+func TestReturnedServerIsTriedSoon(t *testing.T) {
+	w := newWorld(t, 8, nil)
+	w.ban("s5", true)
+	w.ban("s5", false)
+	w.pass(time.Second)
+	if to := w.sentTo(1); to["a5"] != 1 {
+		t.Errorf("went to %v", to)
+	}
+}
--- a/internal/engine/server.go
+++ b/internal/engine/server.go
@@ -30,7 +30,7 @@
 	if (s.leaving || s.banned) && n.State == rules.Ready {
 		n.State = rules.Draining
 	}
-	n.Started = max(n.Started, s.coldSince)
+	n.Started, n.Clear = max(n.Started, s.coldSince), s.banned
 	return n
 }
 
@@ -150,6 +150,9 @@
 				e.tell(rules.Returned{Server: id})
 			}
 			e.show(id, s)
+			if ev.Out {
+				e.replace(id)
+			}
 			e.countServers()
 		}
 	}
@@ -158,6 +161,22 @@
 	}
 }
 
+// replace takes the attempts back that wait at a server and has the rules send them elsewhere.
+func (e *Engine) replace(id rules.ServerID) {
+	var at []*request
+	e.requests.All(func(_ slot.ID, r *request) bool {
+		if r.phase == waiting && r.server == id && r.link != nil && !r.carried {
+			at = append(at, r)
+		}
+		return true
+	})
+	for _, r := range at {
+		if r.link.Abandon() {
+			e.outcome(r, rules.Cancelled)
+		}
+	}
+}
+
 // holds reports whether a connection is open at a server.
 func (e *Engine) holds(id rules.ServerID) (held bool) {
 	e.requests.All(func(_ slot.ID, r *request) bool {
--- a/rules/api.go
+++ b/rules/api.go
@@ -84,6 +84,7 @@
 	State    ServerState
 	Capacity float64       // for comparison with other servers; 0 is taken as 1
 	Started  time.Duration // latest start on the event clock; 0: long ago
+	Clear    bool          // where it drains: its connections are to leave before it does
 }
 
 // ListMode says how a List is to be read.
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -64,6 +64,9 @@
 	coldKept   = 2.0 // unspent budget is kept for this many times the time in which a server tips over
 	coldRoom   = 6.0 // connections that a server is held to bear at least
 
+	tryWithin  = time.Second // a server back by hand is first tried within this, each gateway at its time
+	clearShare = 0.5         // of its connections leave a server that is out by hand, at each look
+
 	forgetAfter = 10 * time.Minute // a server gone so long is forgotten
 
 	askFirst = 500 * time.Millisecond // wait before asking again for the list, doubled up to
@@ -109,6 +112,7 @@
 	case Returned:
 		if s := b.servers[ev.Server]; s != nil {
 			b.renew(s)
+			s.tryAt = b.now + time.Duration(b.rand()*float64(tryWithin))
 		}
 	case Outcome:
 		b.onOutcome(ev)
@@ -490,6 +494,9 @@
 	if b.table == nil {
 		return nil
 	}
+	if s := b.untried(r); s != nil {
+		return s
+	}
 	unit := b.unit()
 	part := (1 + boundOver) * (b.totalLoad() + unit) / b.weight
 	keep := b.precedence(r)
@@ -547,6 +554,22 @@
 	return best
 }
 
+// untried is a server that staff put back and nothing has gone to since. One connection tells them and us
+// that it serves, where a cold server's budget would have them wait; each gateway begins at another time, so
+// that together they stay within what the server bears.
+func (b *Balancer) untried(r *request) *server {
+	if r.attempts > 0 || r.Stray {
+		return nil
+	}
+	for _, s := range b.members {
+		if s.tryAt > 0 && b.now >= s.tryAt && s.State == Ready {
+			s.tryAt = 0
+			return s
+		}
+	}
+	return nil
+}
+
 // throttle is the part of requests that is shed since too few set-ups stand, wherever they are tried. It
 // guards against a jam of what all set-ups share, as a store: asked for more than it can do it serves none
 // in time, and the clients' return keeps that up. While it sheds, nothing is moved, as each move is a
@@ -825,6 +848,10 @@
 // hang or slow with their connections on them, and lets an overloaded one drain. It could hurt where all
 // are overloaded: with no room elsewhere a move is a reconnect for nothing, hence the pace.
 func (b *Balancer) moveAway(s *server) {
+	if s.Clear && s.State == Draining && b.throttle() <= 0 {
+		b.clear(s)
+		return
+	}
 	if s.delay < b.aim || b.now >= s.pausedUntil || s.State != Ready || b.throttle() > 0 {
 		s.moves = 0
 		return
@@ -845,6 +872,19 @@
 	}
 }
 
+// clear moves the connections off a server that staff took out, a part of them at each look while others have
+// room. It guards against the cut that each would suffer when the server is restarted.
+func (b *Balancer) clear(s *server) {
+	n := int(math.Ceil(clearShare * b.room() * float64(len(s.open))))
+	for _, r := range s.open {
+		if n > 0 && r.opened && !r.over {
+			b.act(Move{ID: r.ID})
+			r.over = true
+			n--
+		}
+	}
+}
+
 // room is the part of the table's weight that can take more.
 func (b *Balancer) room() float64 {
 	free := 0.0
--- a/rules/state.go
+++ b/rules/state.go
@@ -82,7 +82,8 @@
 	limit       float64 // load that it is held able to bear from here; 0: not known
 	cutAt       time.Duration
 
-	tokens   float64 // of a cold server's budget
+	tryAt    time.Duration // back by hand and untried: tried from then on; 0: nothing to try
+	tokens   float64       // of a cold server's budget
 	tokensAt time.Duration
 }
 
