--- a/internal/engine/delay.go
+++ b/internal/engine/delay.go
@@ -11,6 +11,7 @@
 type Report struct {
 	Load     float64 // asked of it over what it can do
 	HasLoad  bool
+	Held     float64       // connections there, of all gateways; 0: not told
 	Piled    time.Duration // work that waits
 	HasPiled bool
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -160,7 +160,7 @@
 		if s := e.servers[ev.Server]; s != nil {
 			s.meter.report(e.now, ev.Report)
 			if ev.Report.HasLoad {
-				e.tell(rules.LoadReport{Server: ev.Server, Load: ev.Report.Load})
+				e.tell(rules.LoadReport{Server: ev.Server, Load: ev.Report.Load, Held: ev.Report.Held})
 			}
 		}
 	case List:
--- a/internal/line/backend/probe.go
+++ b/internal/line/backend/probe.go
@@ -93,6 +93,8 @@
 		switch name {
 		case "x0":
 			r.Load, r.HasLoad = v, true
+		case "concurrent", "inflight":
+			r.Held = v
 		case "x1":
 			r.Piled, r.HasPiled = time.Duration(v*float64(time.Second)), true
 		}
--- a/rules/api.go
+++ b/rules/api.go
@@ -151,6 +151,7 @@
 	LoadReport struct {
 		Server ServerID
 		Load   float64
+		Held   float64 // connections there, of all gateways; 0: not told
 	}
 
 	// Outcome ends an attempt. Each Send gets exactly one.
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -63,6 +63,7 @@
 	coldSafety = 0.6 // part of a cold server's budget that is used
 	coldKept   = 2.0 // unspent budget is kept for this many times the time in which a server tips over
 	coldRoom   = 6.0 // connections that a server is held to bear at least
+	coldBears  = 0.7 // part of what reports say that servers bear which is gone by
 
 	tryWithin  = time.Second // a server back by hand is first tried within this, each gateway at its time
 	clearShare = 0.5         // of its connections leave a server that is out by hand, at each look
@@ -108,6 +109,9 @@
 	case LoadReport:
 		if s := b.servers[ev.Server]; s != nil {
 			b.onReport(s, ev.Load)
+			if ev.Held > 0 && ev.Load > reportLeast && b.coldAge(s) == 1 {
+				b.bears.add(ev.Held / ev.Load / s.Capacity)
+			}
 		}
 	case Returned:
 		if s := b.servers[ev.Server]; s != nil {
@@ -311,8 +315,12 @@
 	return takes
 }
 
-// fullConnections guesses how many connections a server bears warm, from the mean of the warm ones.
+// fullConnections guesses how many connections a server bears warm, from the reports of warm ones, or else
+// from what they hold: that is all they bear where the fleet is full, and too few where it is not.
 func (b *Balancer) fullConnections(s *server) float64 {
+	if b.bears.weight > 0 {
+		return max(coldBears*b.bears.value*s.Capacity, coldRoom)
+	}
 	held, weight := 0.0, 1e-9
 	for _, o := range b.members {
 		if b.coldAge(o) == 1 {
@@ -737,9 +745,11 @@
 }
 
 // hasRoom reports whether a server can take another connection of the given load within a part of its
-// limit.
+// limit. One that holds nothing from here takes one in any case, as nothing more is heard of it otherwise and
+// a limit that no new group fits in would keep it out for minutes where connections are few.
 func (b *Balancer) hasRoom(s *server, load, part float64) bool {
-	return s.limit == 0 || b.now >= s.pausedUntil && b.loadOf(s)+load <= part*s.limit
+	return s.limit == 0 || b.now >= s.pausedUntil &&
+		(b.loadOf(s)+load <= part*s.limit || len(s.open) == 0 && b.now-s.cutAt > growAfter)
 }
 
 // growLimit lets a limit grow while nothing speaks against it, and forgets one that no longer binds.
--- a/rules/state.go
+++ b/rules/state.go
@@ -43,6 +43,7 @@
 	loads      []mean        // known loads by class
 	anyLoad    mean          // and all together
 	setup      mean          // set-up times
+	bears      mean          // connections that a warm server's reports say it bears, for a weight of 1
 	taken      window        // requests
 	further    window        // attempts beyond each request's first
 	stood      fading        // set-ups
