--- a/rules/daily_test.go
+++ b/rules/daily_test.go
@@ -26,8 +26,8 @@
 	}
 }
 
-// Where warm servers tell what they hold and how loaded that makes them, a cold one's budget goes by that, not
-// by the little that a quiet fleet holds.
+// Where warm servers tell what they hold and how loaded that makes them, a cold one's budget goes by that,
+// not by the little that a quiet fleet holds.
 func TestColdBudgetFollowsReports(t *testing.T) {
 	w := newWorld(t, settings(), 4)
 	s := w.b.order[0]
