Hand what was learned and the open connections to the process that follows

Cause, from a trace of refusals: the new process began with no limits, no loads and no budgets for cold servers, took the old one's connections for none, piled its first clients on the one warm server and shed the rest for 5 s. Versioned, checksummed, renamed into place; damaged, foreign and stale ones are put aside. The new process counts the old one's connections as load and as sockets, and sends their packets to the server that holds them. A stop gives up the listening copy only once a successor that runs says it serves.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -51,6 +51,8 @@
 	figures *metrics.Set
 	bans    *ban.Store
 	serving atomic.Bool // clients' connections are taken, and no stop has been asked for
+	desk    *handover.Desk
+	before  *handover.Record // of the process that this one follows; nil: there is none
 }
 
 // Option changes what New takes by default.
@@ -78,20 +80,21 @@
 	if err != nil {
 		return nil, fmt.Errorf("gateway: %w", err)
 	}
-	g.watcher = discovery.New(c.Discovery, c.Known, g.logger)
+	g.bans = ban.New(c.State, g.logger)
+	g.bans.Connect(func(id string, out bool, done func()) { g.engine.Post(engine.Banned{Name: id, Out: out, Done: done}) })
+	g.takeUp()
+	g.watcher = discovery.New(c.Discovery, g.config.Known, g.logger)
 	classes := make([]string, len(c.Rules.Classes))
 	for i, class := range c.Rules.Classes {
 		classes[i] = class.Name
 	}
 	g.figures = metrics.New(classes)
-	g.bans = ban.New(c.State, g.logger)
-	g.bans.Connect(func(id string, out bool, done func()) { g.engine.Post(engine.Banned{Name: id, Out: out, Done: done}) })
 	attempts := backend.New(backend.Options{
 		ConnectTimeout: c.Node.ConnectTimeout, TellsLoad: c.Node.TellsLoad, TellsDelay: c.Node.TellsDelay, Forwards: &g.figures.Forwards,
 	})
 	g.engine = drive.New(engine.New(engine.Options{
 		Sockets: c.Limits.ForClients(), Openings: c.Limits.Idle(), Classes: classes, RetryAfter: c.Rules.MaxRetryAfter, DefaultWait: c.Node.LongestWait, AnswerSlack: c.Node.AnswerSlack,
-		Pass: c.Node.Pass, TellsDelay: c.Node.TellsDelay, MessageAim: c.Node.MessageAim, Probes: c.Node.Probes, Drain: c.Drain,
+		Pass: c.Node.Pass, Park: c.Rules.Park, TellsDelay: c.Node.TellsDelay, MessageAim: c.Node.MessageAim, Probes: c.Node.Probes, Drain: c.Drain,
 		Figures: g.figures, Logger: g.logger,
 	}, balancer, g, g.watcher, attempts))
 	g.lines = attempts
@@ -233,14 +236,6 @@
 		}
 		defer a.Close()
 	}
-	f, err := g.listen(conns)
-	if err != nil {
-		return fmt.Errorf("listen %s: %w", g.config.Listen, err)
-	}
-	if g.config.Passed > 0 {
-		// What waits in the queue that is shared goes to the process that follows.
-		defer context.AfterFunc(ctx, f.Close)()
-	}
 	if g.nats != nil {
 		g.nats.Connect(g.engine, conns)
 		n, err := natsfront.Listen(g.config.Name, *g.nat, g.engine, g.nats, conns, g.logger)
@@ -261,9 +256,20 @@
 	if g.config.Known != nil {
 		stored = g.config.Known.List(rules.Stored)
 	}
-	g.bans.Look() // before the list: no server is used that staff took out
+	// Before any client: no server is used that staff took out, and what the process before knows is known.
+	g.bans.Look()
 	g.post(stored)
+	if g.before != nil {
+		g.engine.Post(engine.Inherit{State: g.before.State, First: true})
+	}
+	f, err := g.listen(conns)
+	if err != nil {
+		return fmt.Errorf("listen %s: %w", g.config.Listen, err)
+	}
 	wg.Go(func() { g.bans.Run(watching) })
+	if g.config.Passed > 0 {
+		wg.Go(func() { g.handOver(ctx, watching, f) })
+	}
 	g.serving.Store(true)
 	defer context.AfterFunc(ctx, func() { g.serving.Store(false) })()
 	g.logger.Info("serving", "name", g.config.Name, "listen", f.Addr(), "discovery", g.config.Discovery,
--- a/gateway/upgrade_test.go
+++ b/gateway/upgrade_test.go
@@ -214,3 +214,30 @@
 		return strings.Contains(figures, "edge_proxy.ejected:0|g")
 	})
 }
+
+// A process that is told to stop before another serves goes on taking what comes.
+func TestStopBeforeAnotherServes(t *testing.T) {
+	p := newPlatform(t)
+	old := p.start()
+	held := p.dial()
+	held.send(p.opening())
+	p.serve(held) // or the stop would be over at once
+	old.stop()
+	p.until("stopping", func() bool { status, _ := old.call(http.MethodGet, "/-/ready"); return status == 503 })
+	for range 10 {
+		client := p.dial()
+		client.send(p.opening())
+		p.serve(client)
+		client.c.Close()
+	}
+	next := p.start()
+	p.until("left to the next", func() bool {
+		client := p.dial()
+		client.send(p.opening())
+		p.serve(client)
+		client.c.Close()
+		_, figures := next.call(http.MethodGet, "/-/metrics")
+		return strings.Contains(figures, "succeeded.c:5|c")
+	})
+	held.c.Close() // the stop waits for it
+}
--- a/internal/discovery/members.go
+++ b/internal/discovery/members.go
@@ -57,9 +57,23 @@
 	return rules.ServerID(xxhash.Sum64String(id))
 }
 
+// MembersOf is the list in discovery's form again, as a watch goes on from it.
+func MembersOf(version int64, servers []engine.Server) *Members {
+	m := &Members{Version: version, Full: true}
+	for _, s := range servers {
+		state := "in_service"
+		if s.State != rules.Ready {
+			state = "terminating"
+		}
+		m.Servers = append(m.Servers, Member{ID: s.Name, Addr: s.Addr, Zone: s.Zone, Cell: s.Cell, State: state,
+			Weight: s.Capacity, StartedMS: s.Started.Milliseconds()})
+	}
+	return m
+}
+
 // List is the engine's form of the list.
 func (m *Members) List(mode rules.ListMode) engine.List {
-	l := engine.List{Mode: mode, Servers: make([]engine.Server, 0, len(m.Servers))}
+	l := engine.List{Mode: mode, Version: m.Version, Servers: make([]engine.Server, 0, len(m.Servers))}
 	for _, s := range m.Servers {
 		// What is in no known state wants nothing new for all that is known.
 		state := rules.Draining
--- a/internal/engine/api.go
+++ b/internal/engine/api.go
@@ -126,6 +126,7 @@
 	// List brings news of the servers.
 	List struct {
 		Mode    rules.ListMode
+		Version int64 // as discovery numbers its lists; 0: it does not
 		Servers []Server
 	}
 	// Banned takes a server out by hand, whatever the list says of it, or puts it back. Done is called once that holds.
@@ -161,6 +162,7 @@
 	RetryAfter  time.Duration // that a client is to stay away for want of sockets; 0: not stated
 	DefaultWait time.Duration // of a request that states none
 	AnswerSlack time.Duration // after a request's deadline an answer is still valid this long
+	Park        time.Duration // servers keep a connection for so long whose packets have stopped
 	Pass        bool          // open connections outlive this gateway: they are not moved when it stops
 	TellsDelay  bool          // the rules want word of slow messages
 	MessageAim  time.Duration // the shortest wanted time of a message; 0: none stated
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -67,13 +67,18 @@
 	deadlines deadline.Queue[due]
 	servers   map[rules.ServerID]*server
 	names     map[string]rules.ServerID
-	banned    map[string]bool // names of servers that are out by hand, listed or not
-	unnamed   metrics.Class   // for what the settings do not name; nobody reads it
-	queue     []rules.Event   // outcomes that follow at once from actions
+	banned    map[string]bool    // names of servers that are out by hand, listed or not
+	unnamed   metrics.Class      // for what the settings do not name; nobody reads it
+	version   int64              // of the list
+	heirs     map[string]slot.ID // connections of the process before, by their clients' names for them
+	came      map[string]bool    // of these, those whose packets have come here
+	queue     []rules.Event      // outcomes that follow at once from actions
 	stopping  bool
 	stoppedAt time.Duration
-	ended     bool
-	counts    counts
+
+	inheritedAt time.Duration // when the process before was last heard of
+	ended       bool
+	counts      counts
 
 	toldNoList bool // since the last regular line
 }
@@ -98,6 +103,7 @@
 		opts: opts, classes: classes, named: map[string]slot.ID{}, rules: balancer, backend: backend, lister: lister, prober: prober,
 		requests: slot.New[*request](opts.Sockets),
 		servers:  map[rules.ServerID]*server{}, names: map[string]rules.ServerID{}, banned: map[string]bool{},
+		heirs: map[string]slot.ID{}, came: map[string]bool{},
 	}
 }
 
@@ -147,7 +153,8 @@
 	case Ended:
 		e.onEnded(ev)
 	case Load:
-		if _, ok := e.requests.Get(ev.Request); ok {
+		if r, ok := e.requests.Get(ev.Request); ok {
+			r.load = ev.Load
 			e.tell(rules.LoadChanged{ID: rules.RequestID(ev.Request), Load: ev.Load})
 		}
 	case Answered:
@@ -165,6 +172,10 @@
 		}
 	case List:
 		e.onList(ev)
+	case Tell:
+		e.onTell(ev)
+	case Inherit:
+		e.onInherit(ev)
 	case Banned:
 		e.onBanned(ev)
 	case Stop:
@@ -206,6 +217,7 @@
 			e.deadlines.Add(e.now+tickEvery, due{kind: dueTick})
 			e.look()
 			e.countServers()
+			e.lookInherited()
 			if e.stopping && e.requests.Len() == 0 && e.now-e.stoppedAt >= quietFor {
 				e.end()
 			}
--- /dev/null
+++ b/internal/engine/inherit_test.go
@@ -0,0 +1,105 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	"example.org/milletvane/internal/metrics"
+	"example.org/milletvane/rules"
+)
+
+// state asks an engine for what it would pass on.
+func (w *world) state() (s State) {
+	w.tell(Tell{To: func(got State) { s = got }})
+	return s
+}
+
+// An engine's open connections go to the same servers at the one that follows it, wherever their keys belong there.
+func TestConnectionsGoOnAtTheNextProcess(t *testing.T) {
+	old := newWorld(t, 3, func(o *Options) { o.Sockets = 64 })
+	at := map[string]string{}
+	for _, id := range []string{"1", "2", "3", "4", "5", "6"} {
+		old.arrive(old.client(id), Request{ID: id, Key: "k" + id})
+		old.wentUp(old.link)
+		at[id] = old.link.a.Addr
+	}
+	st := old.state()
+	if len(st.Flows) != 6 || len(st.Servers) != 3 {
+		t.Fatalf("passed on %+v", st)
+	}
+	f := metrics.New([]string{"c"})
+	w := newWorld(t, 3, func(o *Options) { o.Sockets, o.Figures = 64, f })
+	for i := range st.Flows { // as if an alternate had taken each
+		s := st.Servers[(int(st.Flows[i].Server[1]-'0'))%3]
+		st.Flows[i].Server, at[st.Flows[i].ID] = s.Name, s.Addr
+	}
+	w.tell(Inherit{State: st, First: true})
+	w.held(6)
+	if n := f.Outstanding.Load(); n != 0 {
+		t.Errorf("reports %d of another process as its own", n)
+	}
+	for _, id := range []string{"1", "2", "3", "4"} {
+		w.arrive(w.client(id), Request{ID: id, Key: "k" + id, Stray: true})
+		if w.link.a.Addr != at[id] {
+			t.Errorf("%s went to %s, it stands at %s", id, w.link.a.Addr, at[id])
+		}
+		w.wentUp(w.link)
+		w.tell(Inherit{State: st}) // written before it came
+	}
+	w.held(6)
+	if n := len(w.state().Flows); n != 6 {
+		t.Errorf("a third process would learn of %d", n)
+	}
+	// One ended at the old process; the last never comes.
+	st.Flows = st.Flows[5:]
+	w.tell(Inherit{State: st})
+	w.held(5)
+	w.pass(10 * time.Second)
+	w.held(4)
+}
+
+// What the process before was told of drains was told long ago: no connection may go there any more.
+func TestDrainsStayTold(t *testing.T) {
+	old := newWorld(t, 2, nil)
+	old.arrive(old.client("x"), Request{ID: "1", Key: "k"})
+	old.wentUp(old.link)
+	st := old.state()
+	w := newWorld(t, 2, nil)
+	leaves := old.link.a.Server
+	w.entry(leaves, rules.Draining, 0)
+	w.tell(Inherit{State: st, First: true})
+	w.arrive(w.client("x"), Request{ID: "1", Key: "k", Stray: true})
+	if w.link.a.Server == leaves {
+		t.Error("sent to a server that drains")
+	}
+}
+
+// What was learned of a process holds for that process alone.
+func TestLearnedOfARestartedServerIsVoid(t *testing.T) {
+	old := newWorld(t, 2, nil)
+	old.arrive(old.client("x"), Request{ID: "1", Key: "k"})
+	old.wentUp(old.link)
+	for id := rules.ServerID(1); id <= 2; id++ {
+		old.tell(Probed{Server: id, Report: Report{Load: 3, HasLoad: true}})
+	}
+	st := old.state()
+	limits := func(w *world) (n int) {
+		for _, s := range w.state().Learned.Servers {
+			if s.Limit > 0 {
+				n++
+			}
+		}
+		return n
+	}
+	w := newWorld(t, 2, nil)
+	w.tell(Inherit{State: st, First: true})
+	if n := limits(w); n != 2 {
+		t.Errorf("%d limits were taken over, not 2", n)
+	}
+	w = newWorld(t, 2, nil)
+	w.entry(1, rules.Ready, time.Minute)
+	w.tell(Inherit{State: st, First: true})
+	if n := limits(w); n != 1 {
+		t.Errorf("%d limits were taken over, not 1", n)
+	}
+}
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -12,10 +12,11 @@
 type phase uint8
 
 const (
-	opening phase = iota // has asked for nothing
-	waiting              // its final answer is owed
-	open                 // stands at a server
-	leaving              // is being told to move; the rules know it no more
+	opening   phase = iota // has asked for nothing
+	waiting                // its final answer is owed
+	open                   // stands at a server
+	leaving                // is being told to move; the rules know it no more
+	inherited              // stands at the process before; only its server and its load are known
 )
 
 type request struct {
@@ -23,6 +24,8 @@
 	name   string // as its client calls it; empty: nothing
 	client Client
 	phase  phase
+	flow   Flow           // what the process that follows must know of it
+	load   float64        // as last told
 	class  *metrics.Class // where its answer is counted, once it has asked
 
 	carried  bool
@@ -61,7 +64,7 @@
 
 // countTaken reports how many requests are waiting and connections are open.
 func (e *Engine) countTaken() {
-	e.opts.Figures.Outstanding.Store(int64(e.requests.Len() - e.openings))
+	e.opts.Figures.Outstanding.Store(int64(e.requests.Len() - e.openings - len(e.heirs)))
 }
 
 // close ends a connection that has asked for nothing.
@@ -150,6 +153,10 @@
 		ID: rules.RequestID(r.id), Class: q.Class, Tenant: q.Tenant, Key: q.Key, Group: q.Group,
 		Deadline: q.Wait, Load: q.Load, Returned: q.Returned, Stray: q.Stray,
 	}
+	r.flow, r.load = Flow{Class: q.Class, Key: q.Key, Group: q.Group}, q.Load
+	if q.Stray {
+		req.Holder, req.Held = e.claim(q.ID)
+	}
 	if q.At != "" {
 		e.carry(r, req, q.At)
 		return
@@ -217,7 +224,7 @@
 // drop ends a request whose client is gone, and the attempt that is out for it.
 func (e *Engine) drop(r *request) {
 	e.free(r)
-	if r.phase == opening || r.phase == leaving {
+	if r.phase != waiting && r.phase != open {
 		return
 	}
 	id := rules.RequestID(r.id)
--- a/internal/engine/server.go
+++ b/internal/engine/server.go
@@ -36,6 +36,9 @@
 
 func (e *Engine) onList(ev List) {
 	list := rules.List{Mode: ev.Mode}
+	if ev.Version > 0 {
+		e.version = ev.Version
+	}
 	var drained []rules.ServerID
 	if ev.Mode == rules.Complete || ev.Mode == rules.Stored {
 		listed := make(map[rules.ServerID]bool, len(ev.Servers))
--- /dev/null
+++ b/internal/handover/record.go
@@ -0,0 +1,233 @@
+package handover
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"example.org/milletvane/internal/engine"
+)
+
+// A record's file: this word, the form's version, a checksum and the size on one line, then JSON.
+const (
+	magic      = "milletvane-handover"
+	formNow    = 1
+	recordMost = 16 << 20
+	prefix     = "state-"
+	asideMark  = "bad-"
+	// What was written longer ago is of a process that no longer runs.
+	freshFor = 10 * time.Second
+	keepFor  = time.Minute
+)
+
+// Record is what a process writes down for the one that follows.
+type Record struct {
+	Process Process
+	Written time.Time
+	Ready   bool     // it serves clients
+	Known   []string // ids of servers that were ever listed
+	State   engine.State
+}
+
+// Process tells the processes of one gateway apart.
+type Process struct {
+	Born int64 // Unix time in nanoseconds: who is born later follows
+	PID  int
+}
+
+var table = crc32.MakeTable(crc32.Castagnoli)
+
+// Errors of files that are put aside.
+var (
+	ErrDamaged = errors.New("is damaged")
+	ErrForeign = errors.New("is of another form")
+)
+
+// Desk is the folder where the processes of a gateway leave their records.
+type Desk struct {
+	dir    string
+	self   Process
+	logger *slog.Logger
+	told   string    // the last fault that was logged
+	looked bool      // for the process before
+	from   string    // its file
+	read   time.Time // and when it had been changed
+}
+
+// NewDesk returns the desk in a folder; "" is none, where nothing is written or found.
+func NewDesk(dir string, self Process, logger *slog.Logger) *Desk {
+	return &Desk{dir: dir, self: self, logger: logger}
+}
+
+func (d *Desk) name(p Process) string { return prefix + strconv.FormatInt(p.Born, 10) }
+
+// Write replaces this process's record as a whole. A fault is logged once; it keeps nobody from serving.
+func (d *Desk) Write(r Record) {
+	if d.dir == "" {
+		return
+	}
+	r.Process = d.self
+	err := func() error {
+		body, err := json.Marshal(r)
+		if err != nil {
+			return err
+		}
+		if err := os.MkdirAll(d.dir, 0o700); err != nil {
+			return err
+		}
+		f, err := os.CreateTemp(d.dir, "new-*")
+		if err != nil {
+			return err
+		}
+		_, err = fmt.Fprintf(f, "%s %d %08x %d\n%s", magic, formNow, crc32.Checksum(body, table), len(body), body)
+		if e := f.Close(); err == nil {
+			err = e
+		}
+		if err == nil {
+			err = os.Rename(f.Name(), filepath.Join(d.dir, d.name(d.self)))
+		}
+		if err != nil {
+			os.Remove(f.Name())
+		}
+		return err
+	}()
+	text := fmt.Sprint(err)
+	if err != nil && text != d.told {
+		d.logger.Warn("nothing is left for the process that follows", "err", err)
+	}
+	d.told = text
+}
+
+// Remove takes this process's record away.
+func (d *Desk) Remove() {
+	if d.dir != "" {
+		os.Remove(filepath.Join(d.dir, d.name(d.self)))
+	}
+}
+
+// files lists the records of other processes, by birth.
+func (d *Desk) files() (names []string) {
+	if d.dir == "" {
+		return nil
+	}
+	entries, _ := os.ReadDir(d.dir)
+	for _, e := range entries {
+		if strings.HasPrefix(e.Name(), prefix) && e.Name() != d.name(d.self) {
+			names = append(names, e.Name())
+		}
+	}
+	return names
+}
+
+func born(name string) int64 {
+	n, _ := strconv.ParseInt(strings.TrimPrefix(name, prefix), 10, 64)
+	return n
+}
+
+// Before returns the record of the process that this one follows, if it is new since the last call. That process is found
+// once: the last born before this one of those that run. Files that are damaged, of another form or old are put aside or
+// passed over, and none of them is an error.
+func (d *Desk) Before(now time.Time) (r Record, ok bool) {
+	if d.from != "" {
+		info, err := os.Stat(filepath.Join(d.dir, d.from))
+		if err != nil || info.ModTime().Equal(d.read) {
+			return r, false
+		}
+		d.read = info.ModTime()
+		return d.open(d.from, now)
+	}
+	if d.looked {
+		return r, false
+	}
+	d.looked = true
+	names := d.files()
+	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(born(b), born(a)) })
+	for _, name := range names {
+		info, err := os.Stat(filepath.Join(d.dir, name))
+		if err != nil || born(name) >= d.self.Born {
+			continue
+		}
+		if now.Sub(info.ModTime()) > keepFor {
+			os.Remove(filepath.Join(d.dir, name))
+			continue
+		}
+		if r, ok := d.open(name, now); ok && alive(r.Process.PID) {
+			d.from, d.read = name, info.ModTime()
+			return r, true
+		}
+	}
+	return Record{}, false
+}
+
+func (d *Desk) open(name string, now time.Time) (r Record, ok bool) {
+	path := filepath.Join(d.dir, name)
+	r, err := load(path)
+	switch {
+	case err != nil:
+		d.logger.Warn("put aside", "file", name, "err", err)
+		os.Rename(path, filepath.Join(d.dir, asideMark+name))
+		return r, false
+	case now.Sub(r.Written) > freshFor || r.Written.Sub(now) > freshFor:
+		d.logger.Info("not taken up", "file", name, "written", r.Written)
+		return r, false
+	}
+	return r, true
+}
+
+func load(path string) (r Record, err error) {
+	if info, err := os.Stat(path); err != nil || info.Size() > recordMost {
+		return r, errors.Join(ErrDamaged, err)
+	}
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return r, err
+	}
+	head, body, ok := bytes.Cut(b, []byte{'\n'})
+	var word string
+	var form, size int
+	var sum uint32
+	if n, _ := fmt.Sscanf(string(head), "%s %d %x %d", &word, &form, &sum, &size); !ok || n != 4 || word != magic {
+		return r, ErrDamaged
+	}
+	if form != formNow {
+		return r, ErrForeign
+	}
+	if len(body) != size || crc32.Checksum(body, table) != sum {
+		return r, ErrDamaged
+	}
+	if err := json.Unmarshal(body, &r); err != nil {
+		return r, errors.Join(ErrForeign, err)
+	}
+	return r, nil
+}
+
+// Followed reports whether a process born later serves clients now.
+func (d *Desk) Followed() bool {
+	for _, name := range d.files() {
+		if born(name) <= d.self.Born {
+			continue
+		}
+		if r, err := load(filepath.Join(d.dir, name)); err == nil && r.Ready && alive(r.Process.PID) {
+			return true
+		}
+	}
+	return false
+}
+
+// alive reports whether a process runs. One that died after it was ready follows nobody.
+func alive(pid int) bool {
+	err := unix.Kill(pid, 0)
+	return pid > 0 && (err == nil || err == unix.EPERM)
+}
--- a/rules/api.go
+++ b/rules/api.go
@@ -118,6 +118,8 @@
 		Load     float64       // usual load, in microseconds of work a second; 0: unknown
 		Returned bool          // its client had a connection that broke or was moved
 		Stray    bool          // packets of a connection that some server already holds
+		Held     bool          // and that server is known:
+		Holder   ServerID
 	}
 
 	// Carried is a connection that already ran through this gateway when it started.
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -644,23 +644,29 @@
 	return keepLeast + (1-keepLeast)*min(worth/max(top, 1e-12), 1)
 }
 
-// strayServer guesses which server holds a stray while a past table is in force: the one where the ordinary
-// path put its key then, also if that drains, within the grace. It guards against a reset where gateways
-// and servers change together. It could miss a connection that an alternate took.
+// strayServer is the server that is known to hold a stray, or a guess while a past table is in force: the one
+// where the ordinary path put its key then, also if that drains, within the grace. It guards against a reset
+// where gateways and servers change together. It could miss a connection that an alternate took.
 func (b *Balancer) strayServer(r *request) *server {
+	if s := b.servers[r.Holder]; r.Held && s != nil && b.takesStrays(s) {
+		return s
+	}
 	for _, p := range b.past {
 		if b.now > p.until {
 			continue
 		}
 		s := p.members[p.table.at(r.hash, 0)]
-		drains := s.State == Draining && b.now-s.told < b.set.DrainGrace*drainPart/10
-		if b.coldAge(s) == 1 && (s.State == Ready || drains) {
+		if b.coldAge(s) == 1 && b.takesStrays(s) {
 			return s
 		}
 	}
 	return nil
 }
 
+func (b *Balancer) takesStrays(s *server) bool {
+	return s.State == Ready || s.State == Draining && b.now-s.told < b.set.DrainGrace*drainPart/10
+}
+
 // mayTry reports whether the list and the class's effect allow an attempt at a server.
 func (b *Balancer) mayTry(r *request, s *server) bool {
 	if s.State != Ready {
