Ask again for the list spread by the fleet's size, and keep cold budgets for longer in large fleets

Change: a wait after a failure is spread over 150 ms a gateway, and a budget is kept for up to 8 s from 9 gateways on; nothing changes for 3.

--- a/rules/daily_test.go
+++ b/rules/daily_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 )
 
 // Of a server that holds nothing no more is heard: a limit in which no new group fits must not keep it out.
@@ -67,3 +68,48 @@
 		t.Errorf("%d sent at once to a cold server that is back", to)
 	}
 }
+
+// Gateways that were turned away together ask again one by one, not all within the second that the list's
+// service takes to turn most of them away again.
+func TestManyGatewaysAskAgainApart(t *testing.T) {
+	for _, gateways := range []int{3, 36} {
+		var least, most = 20 * sec, 0 * sec
+		for i := range gateways {
+			set := settings()
+			set.AskList, set.Gateways, set.Seed = true, gateways, uint64(i)+1
+			w := newWorld(t, set, 4)
+			for _, a := range find[Wake](w.feed(List{Mode: Failed})) {
+				least, most = min(least, a.After), max(most, a.After)
+			}
+		}
+		if want := max(askFirst, sec*time.Duration(gateways)/10); most-least < want/2 || least < askFirst/2 {
+			t.Errorf("%d gateways ask again after %v to %v", gateways, least, most)
+		}
+	}
+}
+
+// Where many gateways share a cold server each tries it seldom: what they may send it must not lapse in
+// between.
+func TestColdBudgetOfManyIsKept(t *testing.T) {
+	const tries = 400
+	sent := func(gateways int) (n int) {
+		set := settings()
+		set.Gateways = gateways
+		w := newWorld(t, set, 4)
+		w.feed(List{Mode: Changes, Servers: []Server{{ID: 900, Capacity: 1, Started: w.now}}})
+		s := w.b.servers[900]
+		for i := range tries {
+			s.tokensAt = w.now - 10*sec
+			s.Started = w.now // stays as cold
+			if w.b.takeToken(&request{Request: Request{ID: RequestID(i + 1)}}, s) {
+				n++
+			}
+		}
+		return n
+	}
+	// A try every 10 s is worth 8 s of a part of 36, or 2 s of a part of 9.
+	few, many := sent(9), sent(36)
+	if float64(many) < 0.6*float64(few) || many > 2*few {
+		t.Errorf("of %d tries 10 s apart %d go out at 9 gateways and %d at 36", tries, few, many)
+	}
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -61,7 +61,9 @@
 	retryShare = 0.2              // and for each request taken so many more; never more than this
 
 	coldSafety = 0.6 // part of a cold server's budget that is used
-	coldKept   = 2.0 // unspent budget is kept for this many times the time in which a server tips over
+	coldKept   = 2.0 // unspent budget is kept for this many times the time in which a server tips over,
+	coldMany   = 4.5 // and for longer from this many times as many gateways on, as each tries it seldom,
+	coldLong   = 8.0 // up to this
 	coldRoom   = 6.0 // connections that a server is held to bear at least
 	coldBears  = 0.7 // part of what reports say that servers bear which is gone by
 
@@ -71,7 +73,8 @@
 	forgetAfter = 10 * time.Minute // a server gone so long is forgotten
 
 	askFirst = 500 * time.Millisecond // wait before asking again for the list, doubled up to
-	askMost  = 5 * time.Second        // this
+	askMost  = 5 * time.Second        // this,
+	askEach  = 150 * time.Millisecond // and spread over this for each gateway, as they fail together
 )
 
 // Timer references.
@@ -138,7 +141,8 @@
 			b.logf("list out of reach, keeping the last one")
 			b.askAfter = askFirst
 		}
-		wait := b.askAfter/2 + time.Duration(b.rand()*float64(b.askAfter))
+		spread := max(b.askAfter, time.Duration(b.set.Gateways)*askEach)
+		wait := b.askAfter/2 + time.Duration(b.rand()*float64(spread))
 		b.askAt = b.now + wait
 		b.act(Wake{After: wait, Ref: refOnce})
 		b.askAfter = min(2*b.askAfter, askMost)
@@ -308,7 +312,8 @@
 	capacity := b.set.ColdShare + (1-b.set.ColdShare)*b.coldAge(s)
 	rate := coldSafety * max(b.set.TipMultiple, 1) * capacity * b.fullConnections(s) /
 		b.set.ColdTime.Seconds() / float64(b.set.Gateways)
-	s.tokens = min(s.tokens+rate*(b.now-s.tokensAt).Seconds(), rate*coldKept*b.set.TipTime.Seconds())
+	kept := min(max(coldKept, float64(b.set.Gateways)/coldMany), coldLong)
+	s.tokens = min(s.tokens+rate*(b.now-s.tokensAt).Seconds(), rate*kept*b.set.TipTime.Seconds())
 	s.tokensAt = b.now
 	takes := fraction(mix(uint64(r.ID), uint64(s.ID))) < s.tokens // anew for each try of a client
 	s.tokens = max(s.tokens-1, 0)
