--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -210,7 +210,7 @@
 func (g *Gateway) natsOptions(n *operator.NATS) natsbackend.Options {
 	return natsbackend.Options{
 		ConnectTimeout: g.config.Node.ConnectTimeout, NodePort: n.NodePort, PingEvery: n.PingEvery,
-		MaxShared: n.MaxShared, Name: g.config.Name, Limits: codec.Limits{Payload: max(n.MaxPayload, nodePayload)},
+		MaxShared: n.MaxShared, Name: g.config.Name, Forwards: &g.figures.Forwards, Limits: codec.Limits{Payload: max(n.MaxPayload, nodePayload)},
 	}
 }
 
--- a/internal/lab/demo.go
+++ b/internal/lab/demo.go
@@ -23,15 +23,16 @@
 		Flags: []cli.Flag{
 			&cli.DurationFlag{Name: "span", Value: 12 * time.Second, Usage: "how long it lasts"},
 			&cli.IntFlag{Name: "sessions", Value: 40, Usage: "NATS clients"},
+			&cli.StringFlag{Name: "admin", Usage: "`ADDRESS` where operators call, such as 127.0.0.1:12000"},
 			&cli.IntFlag{Name: "nodes", Value: 4, Usage: "stand-in nodes"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			return runDemo(ctx, c.Root().Writer, c.Int("nodes"), c.Int("sessions"), c.Duration("span"))
+			return runDemo(ctx, c.Root().Writer, c.Int("nodes"), c.Int("sessions"), c.Duration("span"), c.String("admin"))
 		},
 	}
 }
 
-func runDemo(ctx context.Context, out io.Writer, n, sessions int, span time.Duration) error {
+func runDemo(ctx context.Context, out io.Writer, n, sessions int, span time.Duration, admin string) error {
 	if n < 2 || sessions < 1 {
 		return errors.New("at least two nodes and one session are wanted")
 	}
@@ -40,7 +41,7 @@
 		return err
 	}
 	defer fleet.close()
-	gate, err := startNATSGate(ctx, fleet.catalog.Addr(), 2, slogTo(io.Discard, false))
+	gate, err := startNATSGate(ctx, fleet.catalog.Addr(), admin, 2, slogTo(io.Discard, false))
 	if err != nil {
 		return err
 	}
--- a/internal/lab/natsbench.go
+++ b/internal/lab/natsbench.go
@@ -200,7 +200,7 @@
 			}
 			defer catalog.Close()
 			gateway.Confine(config.Limits{Cores: float64(c.Int("cores")), MemoryMB: 512})
-			g, err := startNATSGate(ctx, catalog.Addr(), c.Int("cores"), slogTo(c.Root().ErrWriter, false))
+			g, err := startNATSGate(ctx, catalog.Addr(), "", c.Int("cores"), slogTo(c.Root().ErrWriter, false))
 			if err != nil {
 				return err
 			}
--- a/internal/lab/natsdrain.go
+++ b/internal/lab/natsdrain.go
@@ -126,7 +126,7 @@
 	for i, n := range fleet.list {
 		n.Work(worker(r.Seed, uint64(i)))
 	}
-	gate, err := startNATSGate(ctx, fleet.catalog.Addr(), 2, slogTo(c.Root().ErrWriter, c.Bool("log")))
+	gate, err := startNATSGate(ctx, fleet.catalog.Addr(), "", 2, slogTo(c.Root().ErrWriter, c.Bool("log")))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/lab/natsfleet.go
+++ b/internal/lab/natsfleet.go
@@ -34,8 +34,8 @@
 	done chan error
 }
 
-// startNATSGate starts a gateway in front of a catalog and waits until it serves.
-func startNATSGate(ctx context.Context, catalog string, cores int, logger *slog.Logger) (*natsGate, error) {
+// startNATSGate starts a gateway in front of a catalog and waits until it serves. Operators call at admin; empty: nowhere.
+func startNATSGate(ctx context.Context, catalog string, admin string, cores int, logger *slog.Logger) (*natsGate, error) {
 	lines, err := freePort()
 	if err != nil {
 		return nil, err
@@ -44,8 +44,8 @@
 	if err != nil {
 		return nil, err
 	}
-	conf, err := config.Parse([]byte(fmt.Sprintf(`{"name":"lab","listen":%q,"discovery":%q,
-	 "limits":{"cores":%d,"memory_mb":2048,"sockets":16384},"settings":%s}`, lines, catalog, cores, natsSettings)),
+	conf, err := config.Parse([]byte(fmt.Sprintf(`{"name":"lab","listen":%q,"discovery":%q,"admin_addr":%q,
+	 "limits":{"cores":%d,"memory_mb":2048,"sockets":16384},"settings":%s}`, lines, catalog, admin, cores, natsSettings)),
 		func(string) string { return "" })
 	if err != nil {
 		return nil, err
--- a/internal/nats/backend/backend.go
+++ b/internal/nats/backend/backend.go
@@ -26,6 +26,7 @@
 	PingEvery      time.Duration
 	MaxShared      int
 	Name           string // the gateway's, in the inboxes of requests
+	Forwards       *atomic.Int64 // counts attempts handed whole to the kernel, or to what waits for the node; nil: nobody reads it
 }
 
 // Backend starts attempts for sessions and requests.
@@ -51,6 +52,13 @@
 // Connect sets where events go and which loops carry the connections.
 func (b *Backend) Connect(events Poster, conns *reactor.Group) { b.events, b.conns = events, conns }
 
+// forwarded counts an attempt.
+func (b *Backend) forwarded() {
+	if n := b.options().Forwards; n != nil {
+		n.Add(1)
+	}
+}
+
 // Limits bound the frames of nodes.
 func (b *Backend) Limits() codec.Limits { return b.options().Limits }
 
--- a/internal/nats/backend/leg.go
+++ b/internal/nats/backend/leg.go
@@ -245,6 +245,9 @@
 		b = l.shared.opening
 	}
 	l.Conn().Send(b, []byte(codec.PingFrame))
+	if l.owner != nil { // not one that is shared by requests
+		l.backend.forwarded()
+	}
 	l.await(ping{then: l.stands})
 }
 
--- a/internal/nats/backend/try.go
+++ b/internal/nats/backend/try.go
@@ -120,6 +120,7 @@
 	head = codec.AppendUnsub(head, []byte(t.sid), 1)
 	head = codec.AppendPub(head, subject, inbox, headers, len(body))
 	l.Conn().Send(head, body, []byte("\r\n"))
+	t.backend.forwarded()
 }
 
 // withdraw tells the node that no answer is wanted any more.
