--- a/gateway/upgrade_test.go
+++ b/gateway/upgrade_test.go
@@ -215,6 +215,40 @@
 	})
 }
 
+// A descriptor that is no listening socket of ours ends the start with a word of which key is at fault.
+func TestPassedSocketThatIsNone(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	raw, err := l.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var other int
+	raw.Control(func(f uintptr) { other, err = unix.Dup(int(f)) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer unix.Close(other)
+	for name, fd := range map[string]int{"closed": 1 << 15, "another address": other} {
+		env := map[string]string{config.EnvPassed: strconv.Itoa(fd), config.EnvState: t.TempDir(),
+			config.EnvListen: freeAddr(t), config.EnvDiscovery: "127.0.0.1:1"}
+		c, err := config.Parse(nil, func(k string) string { return env[k] })
+		if err != nil {
+			t.Fatal(err)
+		}
+		g, err := gateway.New(*c, gateway.WithLogger(slog.New(slog.DiscardHandler)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := g.Run(context.Background()); err == nil || !strings.Contains(err.Error(), config.EnvPassed) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
 // A process that is told to stop before another serves goes on taking what comes.
 func TestStopBeforeAnotherServes(t *testing.T) {
 	p := newPlatform(t)
--- a/internal/ban/ban.go
+++ b/internal/ban/ban.go
@@ -19,7 +19,8 @@
 
 const (
 	lookEvery = 100 * time.Millisecond // the other process's calls hold here within twice this
-	knownMost = 16 << 10               // ids once listed that are remembered
+	knownMost = 16 << 10               // ids once listed that are remembered,
+	knownSize = 1 << 20                // and their bytes: they are part of each record that is handed over
 	idMost    = 8 << 10                // bytes of an id
 	prefix    = "out-"
 )
@@ -40,6 +41,7 @@
 	out      map[string]*entry
 	known    map[string]struct{}
 	order    []string // of known, the longest known first
+	size     int      // their bytes
 	lastFail string
 }
 
@@ -68,10 +70,12 @@
 	if _, ok := s.known[id]; ok || len(id) > idMost {
 		return
 	}
-	if len(s.order) >= knownMost {
+	for len(s.order) >= knownMost || len(s.order) > 0 && s.size+len(id) > knownSize {
+		s.size -= len(s.order[0])
 		delete(s.known, s.order[0])
 		s.order = s.order[1:]
 	}
+	s.size += len(id)
 	s.known[id] = struct{}{}
 	s.order = append(s.order, id)
 }
--- a/internal/ban/ban_test.go
+++ b/internal/ban/ban_test.go
@@ -134,6 +134,16 @@
 	if len(known) != knownMost || slices.Contains(known, "9") || !slices.Contains(known, "10") {
 		t.Errorf("%d known", len(known))
 	}
+	for i := range 1000 {
+		a.Listed([]string{fmt.Sprint(i, strings.Repeat("x", 4000))})
+	}
+	size := 0
+	for _, id := range a.Known() {
+		size += len(id)
+	}
+	if size > knownSize || size < knownSize/2 {
+		t.Errorf("%d bytes of ids are remembered", size)
+	}
 }
 
 // An engine that does not take the call up in time gets no yes.
