--- a/internal/nats/backend/backend.go
+++ b/internal/nats/backend/backend.go
@@ -25,7 +25,7 @@
 	Limits         codec.Limits
 	PingEvery      time.Duration
 	MaxShared      int
-	Name           string // the gateway's, in the inboxes of requests
+	Name           string        // the gateway's, in the inboxes of requests
 	Forwards       *atomic.Int64 // counts attempts handed whole to the kernel, or to what waits for the node; nil: nobody reads it
 }
 
