--- a/internal/purity/purity_test.go
+++ b/internal/purity/purity_test.go
@@ -27,6 +27,7 @@
 	"internal/nats/codec":   nil,
 	"internal/nats/session": {"internal/nats/codec"},
 	"placement":             nil,
+	"internal/model":        {"internal/deadline"},
 	"internal/follow":       {"config/operator", "internal/engine", "placement", "rules"},
 }
 
@@ -105,7 +106,7 @@
 			return 3
 		case p == "config/operator", p == "internal/handover", p == "internal/discovery", p == "internal/drive", p == "internal/wire":
 			return 2
-		case p == "internal/engine", p == "internal/nats/session", p == "internal/settings":
+		case p == "internal/model", p == "internal/engine", p == "internal/nats/session", p == "internal/settings":
 			return 1
 		}
 		return 0
