Play a fleet of gateways on rules alone in simulated time, with the protocol's checks inside

Change: internal/model.Fleet: arrivals, lives and returns of clients, attempts with time-outs and delays, a lagging list, drains, rolling deploys and neighbours. Checked in each run: one answer in time, attempts one at a time and at most so many, drains within the grace, no cold node tipped.

--- /dev/null
+++ b/internal/model/change.go
@@ -0,0 +1,80 @@
+package model
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"example.org/milletvane/rules"
+)
+
+// This file is what happens to nodes: drains, restarts and the word of them.
+
+func (m *machine) entry() rules.Server {
+	s := rules.Server{ID: m.id, Capacity: 1}
+	if m.draining {
+		s.State = rules.Draining
+	}
+	if !m.warm {
+		s.Started = m.started
+	}
+	return s
+}
+
+// list tells every gateway of a node, each after the lag.
+func (f *Fleet) list(m *machine) {
+	entry := m.entry()
+	f.World.After(f.site.Lag, func() {
+		for _, g := range f.gateways {
+			if entry.State != rules.Draining {
+				delete(g.told, entry.ID)
+			} else if _, known := g.told[entry.ID]; !known {
+				g.told[entry.ID] = f.World.Now()
+			}
+			g.tell(rules.List{Mode: rules.Changes, Servers: []rules.Server{entry}})
+		}
+	})
+}
+
+// cut ends all that a node holds without a word.
+func (f *Fleet) cut(m *machine) {
+	held := make([]*call, 0, len(m.open))
+	for r := range m.open {
+		held = append(held, r)
+	}
+	slices.SortFunc(held, func(a, b *call) int { // not in the map's order: a run can be played again
+		return cmp.Or(cmp.Compare(a.sent, b.sent), cmp.Compare(a.client.key, b.client.key))
+	})
+	for _, r := range held {
+		f.Cut++
+		c := r.client
+		r.over(rules.Reset)
+		f.again(c, 0)
+	}
+}
+
+// Drain has a node take nothing new, and Restart has it begin anew, cold, some time later.
+func (f *Fleet) Drain(node int, restart time.Duration) {
+	m := f.nodes[node]
+	m.draining, m.since = true, f.World.Now()
+	f.list(m)
+	f.World.After(restart, func() {
+		f.cut(m)
+		m.draining, m.since = false, f.World.Now()
+		m.Node.Restart(f.World.Now())
+		f.list(m)
+	})
+}
+
+// Deploy drains and restarts the nodes one after another.
+func (f *Fleet) Deploy(every, drain time.Duration) {
+	for i := range f.nodes {
+		f.World.After(time.Duration(i)*every, func() { f.Drain(i, drain) })
+	}
+}
+
+// Neighbour takes a part of a node's power for a time.
+func (f *Fleet) Neighbour(node int, part float64, d time.Duration) {
+	f.nodes[node].Neighbour(part)
+	f.World.After(d, func() { f.nodes[node].Neighbour(0) })
+}
--- /dev/null
+++ b/internal/model/fleet.go
@@ -0,0 +1,314 @@
+package model
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"gonum.org/v1/gonum/stat/distuv"
+
+	"example.org/milletvane/rules"
+)
+
+// Site is what a run plays.
+type Site struct {
+	Rules    rules.Settings // Gateways of these; Seed is each one's own
+	Nodes    []Kind         // one each; ids count from 1
+	Delay    time.Duration  // one way between gateways and nodes
+	Lag      time.Duration  // until a gateway is told of a change of a node
+	Arrivals float64        // clients a second
+	Life     time.Duration  // that a client wants its connection, in the mean
+	Load     float64        // of a connection in cores of reference, in the mean
+	Rejoin   time.Duration  // until a client that was cut off comes again
+	Slack    time.Duration  // after a request's deadline an answer still counts this long
+}
+
+// Tally is what came of a run.
+type Tally struct {
+	Asked, Up, Refused, Failed int // requests and their answers
+	Attempts, Cut, Moved       int
+	Wanted, Served             float64  // seconds of connections: wanted, and open at a node that does all that is asked of it
+	Broken                     []string // rules that were broken, the first few
+}
+
+// Service is the part of the wanted seconds that was served.
+func (t *Tally) Service() float64 { return t.Served / max(t.Wanted, 1e-9) }
+
+const brokenMost = 20
+
+// Fleet is a site in play.
+type Fleet struct {
+	Tally
+	World    *World
+	site     Site
+	gateways []*gateway
+	nodes    []*machine
+	random   *rand.Rand
+	life     distuv.Exponential
+	load     distuv.Exponential
+	clients  int // that want a connection now
+}
+
+type machine struct {
+	*Node
+	id       rules.ServerID
+	draining bool
+	since    time.Duration // the drain, or the restart
+	open     map[*call]bool
+}
+
+type gateway struct {
+	fleet    *Fleet
+	balancer *rules.Balancer
+	calls    map[rules.RequestID]*call
+	last     rules.RequestID
+	told     map[rules.ServerID]time.Duration // of a drain that holds
+}
+
+type client struct {
+	key  string
+	load float64
+	end  time.Duration // until then it wants its connection
+	back bool
+}
+
+type call struct {
+	gateway  *gateway
+	client   *client
+	id       rules.RequestID
+	deadline time.Duration
+	attempts int
+	at       *machine // of the attempt that is out or open
+	sent     time.Duration
+	open     bool
+	answered bool
+	timeout  *Event
+	leave    *Event
+}
+
+// NewFleet sets a site up at time 0, which is an hour on the rules' clock.
+func NewFleet(seed uint64, s Site) (*Fleet, error) {
+	f := &Fleet{World: New(seed), site: s}
+	f.World.Run(time.Hour)
+	f.random = f.World.Stream("clients")
+	f.life = distuv.Exponential{Rate: 1 / s.Life.Seconds(), Src: f.World.Stream("lives")}
+	f.load = distuv.Exponential{Rate: 1 / s.Load, Src: f.World.Stream("loads")}
+	for i, k := range s.Nodes {
+		n, err := NewNode(fmt.Sprint("s-", i+1), k)
+		if err != nil {
+			return nil, err
+		}
+		f.nodes = append(f.nodes, &machine{Node: n, id: rules.ServerID(i + 1), open: map[*call]bool{}})
+	}
+	list := rules.List{Mode: rules.Complete}
+	for _, m := range f.nodes {
+		list.Servers = append(list.Servers, m.entry())
+	}
+	for i := range max(s.Rules.Gateways, 1) {
+		set := s.Rules
+		set.Seed = uint64(i) + 1
+		b, err := rules.New(set)
+		if err != nil {
+			return nil, err
+		}
+		g := &gateway{fleet: f, balancer: b, calls: map[rules.RequestID]*call{}, told: map[rules.ServerID]time.Duration{}}
+		f.gateways = append(f.gateways, g)
+		g.tell(list)
+	}
+	f.arrive()
+	f.second()
+	return f, nil
+}
+
+// Run plays on for a time and returns what came of it so far.
+func (f *Fleet) Run(d time.Duration) *Tally {
+	f.World.Run(f.World.Now() + d)
+	return &f.Tally
+}
+
+func (f *Fleet) breaks(format string, args ...any) {
+	if len(f.Broken) < brokenMost {
+		f.Broken = append(f.Broken, fmt.Sprintf("%v: ", f.World.Now()-time.Hour)+fmt.Sprintf(format, args...))
+	}
+}
+
+// second adds up what was served in the last one.
+func (f *Fleet) second() {
+	f.World.After(time.Second, func() {
+		now := f.World.Now()
+		f.Wanted += float64(f.clients)
+		for _, m := range f.nodes {
+			f.Served += float64(len(m.open)) / max(m.Load(now), 1)
+		}
+		f.second()
+	})
+}
+
+func (f *Fleet) arrive() {
+	gap := time.Duration(f.random.ExpFloat64() / f.site.Arrivals * float64(time.Second))
+	f.World.After(gap, func() {
+		now := f.World.Now()
+		c := &client{key: fmt.Sprint(f.random.Uint64()), load: f.load.Rand(), end: now + time.Duration(f.life.Rand()*float64(time.Second))}
+		f.clients++
+		f.World.At(c.end, func() { f.clients-- })
+		f.ask(c)
+		f.arrive()
+	})
+}
+
+// ask has a client ask some gateway, unless it wants nothing any more.
+func (f *Fleet) ask(c *client) {
+	now := f.World.Now()
+	if now >= c.end {
+		return
+	}
+	g := f.gateways[f.random.IntN(len(f.gateways))]
+	g.last++
+	class := f.site.Rules.Classes[0]
+	r := &call{gateway: g, client: c, id: g.last, deadline: now + class.Deadline}
+	g.calls[r.id] = r
+	f.Asked++
+	f.World.At(r.deadline+f.site.Slack, func() {
+		if !r.answered {
+			f.breaks("request %d has no answer %v after its deadline", r.id, f.site.Slack)
+		}
+	})
+	g.tell(rules.Request{ID: r.id, Class: class.Name, Key: c.key, Deadline: class.Deadline, Load: c.load * 1e6, Returned: c.back})
+}
+
+// again has a client come back.
+func (f *Fleet) again(c *client, after time.Duration) {
+	c.back = true
+	f.World.After(max(after, f.site.Rejoin), func() { f.ask(c) })
+}
+
+func (g *gateway) tell(ev rules.Event) {
+	// Actions are valid until the next call alone.
+	for _, a := range slices.Clone(g.balancer.Handle(g.fleet.World.Now(), ev)) {
+		g.act(a)
+	}
+}
+
+func (g *gateway) act(a rules.Action) {
+	f := g.fleet
+	switch a := a.(type) {
+	case rules.Send:
+		g.send(a)
+	case rules.Refuse:
+		if r := g.answer(a.ID); r != nil {
+			f.Refused++
+			f.again(r.client, a.RetryAfter)
+		}
+	case rules.Fail:
+		if r := g.answer(a.ID); r != nil {
+			f.Failed++
+			f.again(r.client, 0)
+		}
+	case rules.Move:
+		if r := g.calls[a.ID]; r != nil && r.open {
+			f.Moved++
+			r.over(rules.Cancelled)
+			f.again(r.client, 0)
+		}
+	case rules.Wake:
+		f.World.After(a.After, func() { g.tell(rules.Timer{Ref: a.Ref}) })
+	}
+}
+
+// answer takes a request's final answer, which may come once.
+func (g *gateway) answer(id rules.RequestID) *call {
+	r := g.calls[id]
+	if r == nil || r.answered || r.at != nil {
+		g.fleet.breaks("request %d is answered twice, or while an attempt is out", id)
+		return nil
+	}
+	r.answered = true
+	delete(g.calls, id)
+	return r
+}
+
+func (g *gateway) send(a rules.Send) {
+	f, now := g.fleet, g.fleet.World.Now()
+	r := g.calls[a.ID]
+	if r == nil || r.at != nil || r.answered {
+		f.breaks("request %d is sent while an attempt is out, or after its answer", a.ID)
+		return
+	}
+	if r.attempts++; r.attempts > max(f.site.Rules.MaxAttempts, 1) {
+		f.breaks("request %d is sent %d times", a.ID, r.attempts)
+	}
+	if at, drains := g.told[a.Server]; drains && now-at > f.site.Rules.DrainGrace {
+		f.breaks("request %d is sent to node %d, told to drain %v ago", a.ID, a.Server, now-at)
+	}
+	f.Attempts++
+	r.at, r.sent = f.nodes[a.Server-1], now
+	wait := r.deadline - now
+	if a.Timeout > 0 {
+		wait = min(wait, a.Timeout)
+	}
+	n := r.attempts
+	r.timeout = f.World.After(wait, func() { r.over(rules.TimedOut) })
+	f.World.After(f.site.Delay, func() { r.reach(n) })
+}
+
+// reach brings an attempt to its node, and the node's word back.
+func (r *call) reach(n int) {
+	f, m := r.gateway.fleet, r.at
+	if m == nil || r.attempts != n || r.open {
+		return
+	}
+	verdict := Full
+	if !m.draining {
+		verdict = m.Send(f.World.Now(), r.client.load)
+	}
+	if verdict == Tipped {
+		f.breaks("node %d is tipped over %v after its start", m.id, f.World.Now()-m.since)
+		f.cut(m)
+	}
+	begun := m.since
+	f.World.After(f.site.Delay, func() {
+		switch {
+		case r.at != m || r.attempts != n || r.open: // given up meanwhile
+			if verdict == Taken && m.since == begun && m.Up() {
+				m.Leave(r.client.load)
+			}
+		case verdict == Taken && m.since == begun && m.Up():
+			r.up()
+		case verdict == Full:
+			r.over(rules.Full)
+		default:
+			r.over(rules.ConnectFailed)
+		}
+	})
+}
+
+func (r *call) up() {
+	f := r.gateway.fleet
+	f.World.Cancel(r.timeout)
+	r.open, r.answered = true, true
+	r.at.open[r] = true
+	f.Up++
+	r.leave = f.World.At(r.client.end, func() { r.over(rules.OK) })
+	r.gateway.tell(rules.Opened{ID: r.id, Attempt: r.attempts - 1, Server: r.at.id, Elapsed: f.World.Now() - r.sent})
+}
+
+// over ends an attempt, or the connection that it set up.
+func (r *call) over(result rules.Result) {
+	f, m := r.gateway.fleet, r.at
+	if m == nil {
+		return
+	}
+	f.World.Cancel(r.timeout)
+	f.World.Cancel(r.leave)
+	if r.open && m.open[r] {
+		delete(m.open, r)
+		m.Leave(r.client.load)
+	}
+	was := r.open
+	r.at, r.open = nil, false
+	if was {
+		delete(r.gateway.calls, r.id)
+	}
+	r.gateway.tell(rules.Outcome{ID: r.id, Attempt: r.attempts - 1, Server: m.id, Result: result, Elapsed: f.World.Now() - r.sent, Settled: was})
+}
--- /dev/null
+++ b/internal/model/fleet_test.go
@@ -0,0 +1,108 @@
+package model
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"example.org/milletvane/rules"
+)
+
+func site(nodes, gateways int) Site {
+	s := Site{
+		Rules: rules.Settings{Gateways: gateways, MaxAttempts: 5, DrainGrace: 500 * time.Millisecond, ColdShare: 0.2, ColdTime: 20 * time.Second,
+			TipMultiple: 4, TipTime: time.Second, MaxRetryAfter: 2 * time.Second,
+			Classes: []rules.Class{{Name: "c", Aim: 800 * time.Millisecond, Deadline: 3 * time.Second}}},
+		Delay: time.Millisecond, Lag: time.Second, Arrivals: float64(nodes), Life: 30 * time.Second, Load: 0.03,
+		Rejoin: 200 * time.Millisecond, Slack: 50 * time.Millisecond,
+	}
+	for range nodes {
+		k := sample
+		k.Cap = 200
+		s.Nodes = append(s.Nodes, k)
+	}
+	return s
+}
+
+func play(t testing.TB, seed uint64, s Site, more func(*Fleet)) *Tally {
+	t.Helper()
+	f, err := NewFleet(seed, s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.Run(2 * time.Minute)
+	if more != nil {
+		more(f)
+	}
+	tally := f.Run(2 * time.Minute)
+	for _, b := range tally.Broken {
+		t.Errorf("seed %d: %s", seed, b)
+	}
+	return tally
+}
+
+// On a quiet day nearly all that is wanted is served, and a run played again is the same to the last figure.
+func TestQuietDay(t *testing.T) {
+	a := play(t, 1, site(12, 3), nil)
+	if a.Service() < 0.97 || a.Up < 2500 || a.Cut > 0 {
+		t.Errorf("served %.3f: %+v", a.Service(), *a)
+	}
+	if b := play(t, 1, site(12, 3), nil); !reflect.DeepEqual(a, b) {
+		t.Errorf("played again: %+v, not %+v", *b, *a)
+	}
+	if c := play(t, 2, site(12, 3), nil); c.Asked == a.Asked && c.Served == a.Served {
+		t.Error("another seed plays alike")
+	}
+}
+
+// A rolling deploy breaks no rule, tips no cold node, and costs service.
+func TestDeploy(t *testing.T) {
+	for seed := uint64(1); seed <= 4; seed++ {
+		quiet := play(t, seed, site(12, 3), nil)
+		deploy := play(t, seed, site(12, 3), func(f *Fleet) { f.Deploy(2*time.Second, 3*time.Second) })
+		if deploy.Cut == 0 || deploy.Service() >= quiet.Service() || deploy.Service() < 0.5 {
+			t.Errorf("seed %d: served %.3f on the quiet day, %.3f in a deploy with %d cut", seed, quiet.Service(), deploy.Service(), deploy.Cut)
+		}
+	}
+}
+
+// The checks see what breaks a rule: gateways that know of no drain, and cold nodes that bear less than the rules are told.
+func TestChecksSeeBrokenRules(t *testing.T) {
+	broken := func(change func(*Site), more func(*Fleet)) int {
+		s := site(12, 3)
+		change(&s)
+		f, err := NewFleet(1, s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.Run(time.Minute)
+		more(f)
+		return len(f.Run(time.Minute).Broken)
+	}
+	deploy := func(f *Fleet) { f.Deploy(2*time.Second, 3*time.Second) }
+	if broken(func(s *Site) { s.Rules.ColdTime = 0 }, deploy) == 0 {
+		t.Error("rules that know of no cold nodes tip none")
+	}
+	if broken(func(*Site) {}, func(f *Fleet) {
+		for _, g := range f.gateways {
+			g.told[1] = f.World.Now() // the gateways were told, their rules were not
+		}
+	}) == 0 {
+		t.Error("sends to a node that drains were not seen")
+	}
+}
+
+// BenchmarkFleet is a second of a fleet's day, at 10 connections a node.
+func BenchmarkFleet(b *testing.B) {
+	f, err := NewFleet(1, site(100, 10))
+	if err != nil {
+		b.Fatal(err)
+	}
+	f.Run(time.Minute)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		f.Run(time.Second)
+	}
+	b.ReportMetric(float64(len(f.Broken)), "broken")
+}
--- a/internal/purity/purity_test.go
+++ b/internal/purity/purity_test.go
@@ -27,7 +27,7 @@
 	"internal/nats/codec":   nil,
 	"internal/nats/session": {"internal/nats/codec"},
 	"placement":             nil,
-	"internal/model":        {"internal/deadline"},
+	"internal/model":        {"internal/deadline", "rules"},
 	"internal/follow":       {"config/operator", "internal/engine", "placement", "rules"},
 }
 
