Keep a server's start once in the engine, in its entry as listed

Cause: since the entry is kept as listed, the start beside it said the same twice. Change: the field is gone. Measured: engine, gateway and border tests pass under the race detector.

--- a/internal/engine/server.go
+++ b/internal/engine/server.go
@@ -15,7 +15,6 @@
 	meter meter
 
 	state   rules.ServerState // as the rules were last told
-	started time.Duration     // as listed
 	entry   rules.Server      // as listed
 	leaving bool              // it has said that it drains, whatever the list says, until it starts anew
 
@@ -67,19 +66,19 @@
 			list.Servers = append(list.Servers, n.Server)
 			continue
 		case s == nil:
-			s = &server{name: n.Name, addr: n.Addr, started: n.Started, banned: e.banned[n.Name], bannedStart: n.Started}
+			s = &server{name: n.Name, addr: n.Addr, banned: e.banned[n.Name], bannedStart: n.Started}
 			e.servers[n.ID] = s
 			e.names[n.Name] = n.ID
 		default:
 			s.addr = n.Addr
 		}
-		if s.leaving && s.started != n.Started {
+		if s.leaving && s.entry.Started != n.Started {
 			s.leaving = false
 		}
 		if n.Started != s.bannedStart {
 			s.coldSince = 0 // the list has caught up
 		}
-		s.started, s.entry = n.Started, n.Server
+		s.entry = n.Server
 		shown := s.shown()
 		if s.state == rules.Ready && shown.State == rules.Draining {
 			drained = append(drained, n.ID)
@@ -145,9 +144,9 @@
 		if s := e.servers[id]; s.banned != ev.Out {
 			s.banned = ev.Out
 			if ev.Out {
-				s.bannedStart, s.coldSince = s.started, 0
+				s.bannedStart, s.coldSince = s.entry.Started, 0
 			} else {
-				if s.started == s.bannedStart && !e.holds(id) {
+				if s.entry.Started == s.bannedStart && !e.holds(id) {
 					s.coldSince = e.now
 				}
 				e.tell(rules.Returned{Server: id})
