Ask servers for their load before placing where a gateway knows nothing of it

With every report logged, a quarter of the servers stood under 0.32 of load while a tenth stood over 0.9. One that says nothing in time comes last. A gateway that holds connections everywhere has its regular reports and asks nothing. Memory code moves to state.go.

--- a/config/config.go
+++ b/config/config.go
@@ -205,6 +205,7 @@
 	if c.Node.LongestWait <= 0 {
 		c.Node.LongestWait = defaultLongestWait
 	}
+	c.Rules.Reports = c.Node.Probes
 	c.Drain = min(c.Node.LongestWait, drainMost) + drainMore
 	if c.Node.Pass {
 		c.Drain = drainPass
--- a/internal/engine/act.go
+++ b/internal/engine/act.go
@@ -41,6 +41,11 @@
 		if r, ok := e.requests.Get(slot.ID(a.ID)); ok && r.phase == open {
 			e.move(r, rules.Cancelled)
 		}
+	case rules.Ask:
+		if s := e.servers[a.Server]; s != nil {
+			s.meter.askedAt = e.now
+			e.prober.Probe(a.Server, s.addr)
+		}
 	case rules.Watch:
 		e.lister.Watch()
 	case rules.Wake:
--- a/rules/api.go
+++ b/rules/api.go
@@ -65,6 +65,7 @@
 	BudgetFree     float64       // with BudgetSpan: so many are allowed in any case
 	BudgetShare    float64       // with BudgetSpan: and so many for each request taken
 	MaxRetryAfter  time.Duration // longest advice to stay away that a client follows; 0: none is given
+	Reports        bool          // servers may be asked for their load with Ask
 }
 
 // ServerState is what the list says of a server.
@@ -228,6 +229,9 @@
 	// Move ends an open connection politely; its client comes again as a new request.
 	Move struct{ ID RequestID }
 
+	// Ask asks a server for its load; a LoadReport answers it, or nothing.
+	Ask struct{ Server ServerID }
+
 	// Watch asks for all changes of the server list from now on.
 	Watch struct{}
 
@@ -245,6 +249,7 @@
 func (Refuse) action() {}
 func (Fail) action()   {}
 func (Move) action()   {}
+func (Ask) action()    {}
 func (Watch) action()  {}
 func (Wake) action()   {}
 func (Log) action()    {}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -41,6 +41,7 @@
 	reportFull  = 0.7                     // reported load at which a server is well used,
 	reportOver  = 0.8                     // from which its limit falls to that,
 	reportRoom  = 0.6                     // and under which it rises to that,
+	reportMost  = 0.85                    // up to which a server is given more,
 	reportLeast = 0.1                     // as if this had been reported at the least
 	groupShare  = 0.05                    // of all connections that a group is guessed to have,
 	groupPrior  = 2.0                     // a guess that weighs as much as this many connections seen
@@ -67,6 +68,11 @@
 	coldRoom   = 6.0 // connections that a server is held to bear at least
 	coldBears  = 0.7 // part of what reports say that servers bear which is gone by
 
+	reportFor = time.Second            // a report is placed by for so long
+	askFor    = 100 * time.Millisecond // and is waited for so long
+	askWidth  = 2                      // servers are asked at once for a request,
+	askRounds = 3                      // and so often
+
 	tryWithin  = time.Second // a server back by hand is first tried within this, each gateway at its time
 	clearShare = 0.5         // of its connections leave a server that is out by hand, at each look
 
@@ -111,10 +117,8 @@
 		}
 	case LoadReport:
 		if s := b.servers[ev.Server]; s != nil {
-			b.onReport(s, ev.Load)
-			if ev.Held > 0 && ev.Load > reportLeast && b.coldAge(s) == 1 {
-				b.bears.add(ev.Held / ev.Load / s.Capacity)
-			}
+			b.onReport(s, ev)
+			b.serveWaiting()
 		}
 	case Returned:
 		if s := b.servers[ev.Server]; s != nil {
@@ -241,25 +245,6 @@
 	b.logf("server %d is gone, as listed", s.ID)
 }
 
-// forget drops servers that are long gone and hold nothing, so that a fleet whose machines get new ids does
-// not grow the memory. One in doubt that nothing was sent to for that long is taken for gone.
-func (b *Balancer) forget() {
-	if b.now-b.forgotAt < forgetAfter/10 {
-		return
-	}
-	b.forgotAt = b.now
-	b.order = slices.DeleteFunc(b.order, func(s *server) bool {
-		if s.doubted > 0 && len(s.open) == 0 && b.now-s.doubted > forgetAfter {
-			b.confirmGone(s)
-		}
-		old := s.State == Gone && len(s.open) == 0 && b.now-s.told > max(forgetAfter, b.set.Park)
-		if old {
-			delete(b.servers, s.ID)
-		}
-		return old
-	})
-}
-
 // refresh fills the table anew from the ready servers where the list has changed since, and keeps the one
 // before for strays. It waits for the next placement, since most changes of a list come in a run and a
 // gateway among many places few connections between them.
@@ -320,22 +305,6 @@
 	return takes
 }
 
-// fullConnections guesses how many connections a server bears warm, from the reports of warm ones, or else
-// from what they hold: that is all they bear where the fleet is full, and too few where it is not.
-func (b *Balancer) fullConnections(s *server) float64 {
-	if b.bears.weight > 0 {
-		return max(coldBears*b.bears.value*s.Capacity, coldRoom)
-	}
-	held, weight := 0.0, 1e-9
-	for _, o := range b.members {
-		if b.coldAge(o) == 1 {
-			held += float64(len(o.open))
-			weight += o.Capacity
-		}
-	}
-	return max(held*float64(b.set.Gateways)/weight*s.Capacity, coldRoom)
-}
-
 // Requests.
 
 func (b *Balancer) onRequest(ev Request) {
@@ -359,7 +328,9 @@
 	}
 	s := b.place(r)
 	if s == nil {
-		b.holdOrAnswer(r)
+		if len(r.asked) == 0 {
+			b.holdOrAnswer(r)
+		}
 		return
 	}
 	if r.attempts > 0 {
@@ -408,12 +379,51 @@
 	held := b.waiting
 	b.waiting = nil
 	for _, r := range held {
-		if !r.over {
+		switch {
+		case r.over:
+		case b.now < r.heldUntil && slices.ContainsFunc(r.asked, b.unheard):
+			b.waiting = append(b.waiting, r)
+		default:
+			r.asked = nil
 			b.serve(r)
 		}
 	}
 }
 
+// Reports.
+
+// ask has servers asked for their load on behalf of a request, which waits for that.
+func (b *Balancer) ask(r *request, of []*server) {
+	r.asked, r.heldUntil = of, b.now+askFor
+	r.asks++
+	for _, s := range of {
+		if b.now-s.askedAt > askFor || s.askedAt == 0 {
+			s.askedAt = b.now
+			b.act(Ask{Server: s.ID})
+		}
+	}
+	b.waiting = append(b.waiting, r)
+	b.act(Wake{After: askFor, Ref: refOnce})
+}
+
+// unknown reports whether nothing is known of a server's load, and it is to be asked before it is sent to.
+func (b *Balancer) unknown(s *server) bool {
+	return b.set.Reports && s.ejected == 0 && b.coldAge(s) == 1 && !b.toldOf(s) &&
+		(s.askedAt == 0 || b.now-s.askedAt > reportFor)
+}
+
+// strain ranks a server by its own word: the less load the better, and one that says nothing comes last. One
+// that was not asked serves where all that were are full: a refusal was measured to cost more.
+func (b *Balancer) strain(s *server) float64 {
+	switch load := b.loadWith(s); {
+	case !b.set.Reports || b.unknown(s) || b.coldAge(s) < 1 || b.toldOf(s) && load <= reportRoom:
+		return 0
+	case b.toldOf(s):
+		return load
+	}
+	return 4
+}
+
 // answer gives the final answer: a refusal where the class's effect allows it, else a failure. Clients are
 // told to come back spread over the second half of the time that they follow.
 func (b *Balancer) answer(r *request) {
@@ -517,7 +527,8 @@
 		return nil
 	}
 	var best *server
-	least := math.MaxInt
+	var ask []*server
+	least := math.Inf(1)
 	first := int(r.chance(0) * b.parts(r))
 	if r.Returned && !b.vouches(b.entry(r, first)) {
 		first += 1 + int(mix(uint64(r.ID), keySeed)%returnOver)
@@ -531,7 +542,7 @@
 		if !b.mayTry(r, s) {
 			continue
 		}
-		bad := 0
+		bad := 0.0
 		if slices.Contains(r.tried, s.ID) {
 			bad += 4
 		}
@@ -545,9 +556,16 @@
 		if r.Group != "" && s.groups[r.Group] == 0 { // do not spread scarce room over many groups
 			cost += groupCost * unit
 		}
-		if !b.hasRoom(s, cost, keep) {
+		if r.asks < askRounds && b.unknown(s) {
+			if len(ask) < askWidth && !slices.Contains(ask, s) {
+				ask = append(ask, s)
+			}
+			continue
+		}
+		if len(ask) > 0 || !b.hasRoom(s, cost, keep) {
 			continue
 		}
+		bad += b.strain(s)
 		if b.loadOf(s)+unit > part*s.Capacity+boundSlack*unit {
 			bad++
 		}
@@ -564,6 +582,10 @@
 			best, least = s, bad
 		}
 	}
+	if len(ask) > 0 {
+		b.ask(r, ask)
+		return nil
+	}
 	return best
 }
 
@@ -597,22 +619,6 @@
 	return (tried - triedMost*(stood+1)) / (tried + 1)
 }
 
-// hashes are what places a request, of the group or else the client, and what tells its client from others.
-func hashes(ev Request) (place, client uint64) {
-	client = mix(uint64(ev.ID), keySeed) // without a key there is nothing to agree on
-	if ev.Key != "" {
-		client = hashKey(ev.Key)
-	}
-	if ev.Group == "" {
-		return client, client
-	}
-	place = hashKey(ev.Group)
-	if ev.Key == "" {
-		client = place
-	}
-	return place, client
-}
-
 // entry is the server of a request's j-th lookup: 0 is the ordinary path.
 func (b *Balancer) entry(r *request, j int) *server { return b.members[b.table.at(r.hash, j)] }
 
@@ -722,7 +728,15 @@
 // and kept long after, as limits grow slowly by themselves: a server at a sixth of its power was seen kept
 // out for ten seconds while clients were refused. It holds for whatever takes a server's power. It could
 // hurt where reports are wrong by more than lies between reportRoom and reportOver.
-func (b *Balancer) onReport(s *server, load float64) {
+func (b *Balancer) onReport(s *server, ev LoadReport) {
+	load := ev.Load
+	s.load, s.reportAt, s.sent, s.each = load, b.now, 0, 0
+	if ev.Held > 0 && load > reportLeast {
+		s.each = load / ev.Held
+		if b.coldAge(s) == 1 {
+			b.bears.add(1 / s.each / s.Capacity)
+		}
+	}
 	least := b.unit() / float64(b.set.Gateways)
 	switch {
 	case load > reportOver:
@@ -759,6 +773,9 @@
 // limit. One that holds nothing from here takes one in any case, as nothing more is heard of it otherwise and
 // a limit that no new group fits in would keep it out for minutes where connections are few.
 func (b *Balancer) hasRoom(s *server, load, part float64) bool {
+	if b.set.Reports && b.toldOf(s) {
+		return b.loadWith(s) <= reportMost
+	}
 	return s.limit == 0 || b.now >= s.pausedUntil &&
 		(b.loadOf(s)+load <= part*s.limit || len(s.open) == 0 && b.now-s.cutAt > growAfter)
 }
@@ -934,19 +951,3 @@
 	}
 	return worth / load
 }
-
-// unit is the load of one mean connection.
-func (b *Balancer) unit() float64 {
-	if b.anyLoad.weight > 0 {
-		return b.anyLoad.value
-	}
-	return 1
-}
-
-// loadOfClass is the load of one connection of a class, where its own is not known.
-func (b *Balancer) loadOfClass(c int) float64 {
-	if b.loads[c].weight > 0 {
-		return b.loads[c].value
-	}
-	return b.unit()
-}
--- a/rules/state.go
+++ b/rules/state.go
@@ -83,6 +83,12 @@
 	limit       float64 // load that it is held able to bear from here; 0: not known
 	cutAt       time.Duration
 
+	load     float64       // as last reported
+	reportAt time.Duration // 0: never
+	each     float64       // load of one connection, by that report
+	askedAt  time.Duration // 0: never
+	sent     int           // attempts since the last report
+
 	tryAt    time.Duration // back by hand and untried: tried from then on; 0: nothing to try
 	tokens   float64       // of a cold server's budget
 	tokensAt time.Duration
@@ -96,6 +102,8 @@
 	deadline time.Duration
 
 	heldUntil time.Duration // 0: never held
+	asked     []*server     // whose reports it waits for
+	asks      int           // rounds in which servers were asked for it
 	attempts  int
 	tried     []ServerID
 	server    *server // of the attempt that is out or open
@@ -307,6 +315,7 @@
 	b.groups[r.Group]++
 	b.held++
 	s.pending++
+	s.sent++
 	b.count(r, 1)
 }
 
@@ -411,3 +420,79 @@
 	b.attach(r, s)
 	s.pending--
 }
+
+// loadWith is the load that a server would report with one connection more.
+func (b *Balancer) loadWith(s *server) float64 { return s.load + float64(s.sent+1)*s.each }
+
+// unheard reports whether a server was asked and has not told yet.
+func (b *Balancer) unheard(s *server) bool { return s.reportAt < s.askedAt }
+
+// toldOf reports whether a server's own word of its load is young enough to place by.
+func (b *Balancer) toldOf(s *server) bool { return s.reportAt > 0 && b.now-s.reportAt <= reportFor }
+
+// forget drops servers that are long gone and hold nothing, so that a fleet whose machines get new ids does
+// not grow the memory. One in doubt that nothing was sent to for that long is taken for gone.
+func (b *Balancer) forget() {
+	if b.now-b.forgotAt < forgetAfter/10 {
+		return
+	}
+	b.forgotAt = b.now
+	b.order = slices.DeleteFunc(b.order, func(s *server) bool {
+		if s.doubted > 0 && len(s.open) == 0 && b.now-s.doubted > forgetAfter {
+			b.confirmGone(s)
+		}
+		old := s.State == Gone && len(s.open) == 0 && b.now-s.told > max(forgetAfter, b.set.Park)
+		if old {
+			delete(b.servers, s.ID)
+		}
+		return old
+	})
+}
+
+// hashes are what places a request, of the group or else the client, and what tells its client from others.
+func hashes(ev Request) (place, client uint64) {
+	client = mix(uint64(ev.ID), keySeed) // without a key there is nothing to agree on
+	if ev.Key != "" {
+		client = hashKey(ev.Key)
+	}
+	if ev.Group == "" {
+		return client, client
+	}
+	place = hashKey(ev.Group)
+	if ev.Key == "" {
+		client = place
+	}
+	return place, client
+}
+
+// unit is the load of one mean connection.
+func (b *Balancer) unit() float64 {
+	if b.anyLoad.weight > 0 {
+		return b.anyLoad.value
+	}
+	return 1
+}
+
+// loadOfClass is the load of one connection of a class, where its own is not known.
+func (b *Balancer) loadOfClass(c int) float64 {
+	if b.loads[c].weight > 0 {
+		return b.loads[c].value
+	}
+	return b.unit()
+}
+
+// fullConnections guesses how many connections a server bears warm, from the reports of warm ones, or else
+// from what they hold: that is all they bear where the fleet is full, and too few where it is not.
+func (b *Balancer) fullConnections(s *server) float64 {
+	if b.bears.weight > 0 {
+		return max(coldBears*b.bears.value*s.Capacity, coldRoom)
+	}
+	held, weight := 0.0, 1e-9
+	for _, o := range b.members {
+		if b.coldAge(o) == 1 {
+			held += float64(len(o.open))
+			weight += o.Capacity
+		}
+	}
+	return max(held*float64(b.set.Gateways)/weight*s.Capacity, coldRoom)
+}
