Let what is shed fill cold servers, and send strays to their entry unasked

A further factor of 0.7 stood on reports of what servers bear, beside the safety of 0.6. Strays (mid=1) waited for reports and were led away from loaded entries, though their holder bears them already. Change: a request shed for pressure still tries cold servers in their budget; the throttle for set-ups stays whole. The factor 0.7 is gone.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -65,7 +65,6 @@
 	coldKept   = 2.0 // unspent budget is kept for this many times the time in which a server tips over,
 	coldTries  = 4   // first of a request's, in which cold servers are tried that a gateway tries more seldom
 	coldRoom   = 6.0 // connections that a server is held to bear at least
-	coldBears  = 0.7 // part of what reports say that servers bear which is gone by
 
 	reportFor = time.Second            // a report is placed by for so long
 	askFor    = 100 * time.Millisecond // and is waited for so long
@@ -525,16 +524,20 @@
 	if s := b.untried(r); s != nil {
 		return s
 	}
+	first := int(r.chance(0) * b.parts(r))
+	if e := b.entry(r, first); r.Stray && r.attempts == 0 && b.unknown(e) && b.mayTry(r, e) {
+		return e // it loads whoever holds it already, and no report tells who that is
+	}
 	unit := b.unit()
 	part := (1 + boundOver) * (b.totalLoad() + unit) / b.weight
 	keep := b.precedence(r)
-	if r.chance(1) < max((b.pressure-holdFrom*keep)/(1-holdFrom*keep), b.throttle()) {
+	if r.chance(1) < b.throttle() {
 		return nil
 	}
+	shed := r.chance(1) < (b.pressure-holdFrom*keep)/(1-holdFrom*keep)
 	var best *server
 	var ask []*server
 	least := math.Inf(1)
-	first := int(r.chance(0) * b.parts(r))
 	if r.Returned && !b.vouches(b.entry(r, first)) {
 		first += 1 + int(mix(uint64(r.ID), keySeed)%returnOver)
 	}
@@ -544,8 +547,8 @@
 			j = first
 		}
 		s := b.entry(r, j)
-		if !b.mayTry(r, s) {
-			continue
+		if !b.mayTry(r, s) || shed && b.coldAge(s) == 1 {
+			continue // what is shed for the load of warm servers may still fit a cold one's budget
 		}
 		bad := 0.0
 		if slices.Contains(r.tried, s.ID) {
--- a/rules/state.go
+++ b/rules/state.go
@@ -492,7 +492,7 @@
 // from what they hold: that is all they bear where the fleet is full, and too few where it is not.
 func (b *Balancer) fullConnections(s *server) float64 {
 	if b.bears.weight > 0 {
-		return max(coldBears*b.bears.value*s.Capacity, coldRoom)
+		return max(b.bears.value*s.Capacity, coldRoom)
 	}
 	held, weight := 0.0, 1e-9
 	for _, o := range b.members {
