--- a/rules/rules.go
+++ b/rules/rules.go
@@ -542,6 +542,9 @@
 		first += 1 + int(mix(uint64(r.ID), keySeed)%returnOver)
 	}
 	for i := range min(lookups*len(b.members), lookupsMost) + 1 {
+		if shed && i > coldTries { // a long search costs time that an overloaded gateway lacks
+			break
+		}
 		j := i - 1
 		if i == 0 { // its own part of the group; then the others and their alternates
 			j = first
