Make room exactly one where all servers have room

Its sum began at 1e-9, so that moves allowed came to just under a whole one and each look lost one. The search of shed requests, named as the cause before, was not it; its bound stays as it costs less. Change: the sum begins at zero.

--- a/rules/state.go
+++ b/rules/state.go
@@ -506,7 +506,7 @@
 
 // room is the part of the table's weight that can take more, of servers that told their loads if they can.
 func (b *Balancer) room() float64 {
-	free, all := 0.0, 1e-9
+	free, all := 0.0, 0.0
 	for _, s := range b.members {
 		if b.set.Reports && !b.toldOf(s) {
 			continue
@@ -516,5 +516,5 @@
 			free += s.Capacity
 		}
 	}
-	return free / all
+	return free / max(all, 1e-9)
 }
