--- a/rules/rules.go
+++ b/rules/rules.go
@@ -542,7 +542,7 @@
 		first += 1 + int(mix(uint64(r.ID), keySeed)%returnOver)
 	}
 	for i := range min(lookups*len(b.members), lookupsMost) + 1 {
-		if shed && i > coldTries { // a long search costs time that an overloaded gateway lacks
+		if shed && i > coldTries { // a cold server is looked for as far as its budget goes
 			break
 		}
 		j := i - 1
--- a/rules/shed_test.go
+++ b/rules/shed_test.go
@@ -39,3 +39,23 @@
 		t.Errorf("sent %v", s)
 	}
 }
+
+// Room is whole where all have room, so that no move is lost to rounding, and where servers
+// tell their loads it counts those that did.
+func TestRoomIsOfThoseThatTold(t *testing.T) {
+	set := settings()
+	w := newWorld(t, set, 4)
+	w.b.refresh()
+	if got := w.b.room(); got != 1 {
+		t.Errorf("room is %v where all have room", got)
+	}
+	set.Reports = true
+	w = newWorld(t, set, 4)
+	w.b.refresh()
+	for i, load := range []float64{0.2, 1.5} {
+		w.feed(LoadReport{Server: w.b.order[i].ID, Load: load, Held: 10})
+	}
+	if got := w.b.room(); got != 0.5 {
+		t.Errorf("room is %v where one of two that told is full", got)
+	}
+}
