Have each loop wait in a system call of its own, not within the runtime's poller

A probe in the loops logged looks=1 events=0 peek=1 poll=1 twelve times in 30 s, so the loop's epoll descriptor was ready, poll(2) told so, and the runtime's epoll never did. At fault: newLoop's os.NewFile(epoll) and run's raw.Read.

Each loop waits in epoll_pwait itself; Confine gives the runtime one P more for each loop, since a waiting call holds one for up to 10 ms. The test finds epoll descriptors within others in /proc and fails on the old loops.

--- a/gateway/confine.go
+++ b/gateway/confine.go
@@ -8,8 +8,12 @@
 	"example.org/milletvane/config"
 )
 
-// Confine keeps the program's runtime within the limits: garbage is collected sooner as memory runs short.
+// Confine keeps the program's runtime within the limits: garbage is collected sooner as memory runs short. A loop that
+// waits holds a processor of the runtime's, so there is one more for each: what is ready besides does not wait for it.
 func Confine(l config.Limits) {
-	runtime.GOMAXPROCS(max(int(math.Ceil(l.Cores)), 1))
+	runtime.GOMAXPROCS(2 * loops(l))
 	debug.SetMemoryLimit(int64(l.MemoryMB) << 20 * 3 / 4)
 }
+
+// loops is how many loops carry the connections: one a core.
+func loops(l config.Limits) int { return max(int(math.Ceil(l.Cores)), 1) }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -218,7 +217,7 @@
 // the address cannot be listened on or the listener breaks.
 func (g *Gateway) Run(ctx context.Context) error {
 	// One loop a core: each handles what comes where it stands.
-	conns, err := reactor.New(int(math.Ceil(g.config.Limits.Cores)))
+	conns, err := reactor.New(loops(g.config.Limits))
 	if err != nil {
 		return fmt.Errorf("gateway: %w", err)
 	}
--- a/internal/reactor/reactor.go
+++ b/internal/reactor/reactor.go
@@ -1,17 +1,17 @@
 // Package reactor moves bytes on TCP connections: a few loops wait for all of them, hand what came to handlers where it
 // stands, and write without a copy what the kernel takes at once. It knows no protocol.
 //
-// It stands where netpoll stood. netpoll's poller waits in a system call that holds the only processor of a program
-// confined to one core until the runtime's monitor takes it back, up to 10 ms later; and it reads on while nobody takes
-// what it read, so that a peer's flood has no bound. A loop here waits in the runtime's own poller instead: an epoll
-// descriptor is readable when one of its own is ready. And a connection can be left unread.
+// A loop waits in a system call of its own, which holds one of the runtime's processors until the runtime's monitor takes
+// it back, up to 10 ms later: the program wants one processor more for each loop. Waiting in the runtime's
+// poller for the loop's epoll descriptor would want none, but not every platform tells that a descriptor within another
+// is ready: on one where only sockets, pipes and eventfds are told of, no client was ever seen. A connection can be left
+// unread, so that a peer's flood has a bound.
 package reactor
 
 import (
 	"errors"
 	"fmt"
 	"net"
-	"os"
 	"runtime"
 	"sync"
 	"sync/atomic"
@@ -65,7 +65,6 @@
 type loop struct {
 	group *Group
 	epoll int
-	file  *os.File
 	buf   []byte
 
 	mu    sync.Mutex
@@ -122,8 +121,6 @@
 		unix.Close(wake)
 		return nil, err
 	}
-	unix.SetNonblock(ep, true) // or the runtime would not poll it
-	l.file = os.NewFile(uintptr(ep), "epoll")
 	return l, nil
 }
 
@@ -147,11 +144,12 @@
 				s.Close()
 			}
 		}
-		l.file.Close()
+		l.rouse()
 	}
 	g.wg.Wait()
 	for _, l := range g.loops {
 		unix.Close(l.wake)
+		unix.Close(l.epoll)
 	}
 }
 
@@ -159,34 +157,37 @@
 
 // run waits for events and handles them until the group is closed.
 func (l *loop) run() {
-	raw, err := l.file.SyscallConn()
-	if err != nil {
-		return
-	}
 	events := make([]unix.EpollEvent, eventsAtOnce)
-	raw.Read(func(fd uintptr) bool {
-		for {
-			n := epollNow(int(fd), events)
-			if n <= 0 {
-				return false // wait in the runtime's poller; a closed file ends that
-			}
-			for i := range events[:n] {
-				l.dispatch(&events[i])
-			}
-			runtime.Gosched() // others may have become ready, and this may be the only processor
-			l.mu.Lock()
-			ended := l.ended
-			l.mu.Unlock()
-			if ended {
-				return true
-			}
+	for {
+		n := look(l.epoll, events)
+		if n == 0 {
+			n = wait(l.epoll, events)
 		}
-	})
+		for i := range events[:n] {
+			l.dispatch(&events[i])
+		}
+		runtime.Gosched() // others may have become ready, and this may be the only processor
+		l.mu.Lock()
+		ended := l.ended
+		l.mu.Unlock()
+		if ended {
+			return
+		}
+	}
 }
 
-// epollNow looks without waiting, so the runtime need not be told of the call.
-func epollNow(fd int, events []unix.EpollEvent) int {
-	n, _, e := syscall.RawSyscall6(unix.SYS_EPOLL_PWAIT, uintptr(fd), uintptr(unsafe.Pointer(&events[0])), uintptr(len(events)), 0, 0, 0)
+// look takes what is ready without waiting, so that the runtime need not be told of the call.
+func look(epoll int, events []unix.EpollEvent) int {
+	return ready(syscall.RawSyscall6(unix.SYS_EPOLL_PWAIT, uintptr(epoll), uintptr(unsafe.Pointer(&events[0])), uintptr(len(events)), 0, 0, 0))
+}
+
+// wait waits until something is ready.
+func wait(epoll int, events []unix.EpollEvent) int {
+	const forever = ^uintptr(0)
+	return ready(syscall.Syscall6(unix.SYS_EPOLL_PWAIT, uintptr(epoll), uintptr(unsafe.Pointer(&events[0])), uintptr(len(events)), forever, 0, 0))
+}
+
+func ready(n, _ uintptr, e syscall.Errno) int {
 	if e != 0 {
 		return 0
 	}
@@ -248,10 +249,13 @@
 	l.calls = append(l.calls, f)
 	if !l.woken {
 		l.woken = true
-		unix.Write(l.wake, []byte{1, 0, 0, 0, 0, 0, 0, 0})
+		l.rouse()
 	}
 }
 
+// rouse ends the loop's wait.
+func (l *loop) rouse() { unix.Write(l.wake, []byte{1, 0, 0, 0, 0, 0, 0, 0}) }
+
 // ready runs what was posted.
 func (l *loop) ready(uint32) {
 	var b [8]byte
--- /dev/null
+++ b/internal/reactor/wait_test.go
@@ -0,0 +1,68 @@
+package reactor
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+// No loop may wait by way of another epoll descriptor, such as the runtime's: not every platform tells that one within
+// another is ready.
+func TestNoEpollWithinAnother(t *testing.T) {
+	g := group(t, 2)
+	echo := listen(t, g, func() Handler {
+		return &script{data: func(c *Conn, b []byte) int { c.Send(b); return len(b) }}
+	})
+	c := dial(t, echo) // by now the runtime's poller runs too
+	if _, err := c.Write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Read(make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	const eventpoll = "anon_inode:[eventpoll]"
+	links, err := filepath.Glob("/proc/self/fd/*")
+	if err != nil || len(links) == 0 {
+		t.Fatalf("no descriptors are to be seen: %v", err)
+	}
+	epolls := 0
+	for _, link := range links {
+		if kind, err := os.Readlink(link); err != nil || kind != eventpoll {
+			continue
+		}
+		epolls++
+		info, err := os.ReadFile("/proc/self/fdinfo/" + filepath.Base(link))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for line := range strings.Lines(string(info)) {
+			f := strings.Fields(line)
+			if len(f) < 2 || f[0] != "tfd:" {
+				continue
+			}
+			if kind, err := os.Readlink("/proc/self/fd/" + f[1]); err == nil && kind == eventpoll {
+				t.Errorf("descriptor %s waits within %s", f[1], filepath.Base(link))
+			}
+		}
+	}
+	if epolls < 3 {
+		t.Errorf("%d epoll descriptors, not one for each loop and the runtime's", epolls)
+	}
+}
+
+// A group that nobody asks anything of still closes: its loops wait without end.
+func TestCloseEndsIdleLoops(t *testing.T) {
+	g, err := New(3)
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	go func() { g.Close(); close(done) }()
+	select {
+	case <-done:
+	case <-time.After(patience):
+		t.Fatal("the loops went on waiting")
+	}
+}
