--- a/internal/engine/delay.go
+++ b/internal/engine/delay.go
@@ -120,6 +120,9 @@
 func (e *Engine) probe(id rules.ServerID, s *server) {
 	if e.opts.Probes && e.now-s.meter.askedAt >= probeEvery {
 		s.meter.askedAt = e.now
+		if e.traces() {
+			e.trace("probe", "server", s.name)
+		}
 		e.prober.Probe(id, s.addr)
 	}
 }
--- /dev/null
+++ b/internal/engine/trace.go
@@ -0,0 +1,84 @@
+package engine
+
+import (
+	"context"
+	"log/slog"
+
+	"example.org/milletvane/internal/slot"
+	"example.org/milletvane/rules"
+)
+
+// The trace follows each request through a gateway, by its client's name for it, and with the logs of all gateways
+// through the fleet. It is logged at level debug, and costs a comparison where that is off.
+
+func (e *Engine) traces() bool { return e.opts.Logger.Enabled(context.Background(), slog.LevelDebug) }
+
+func (e *Engine) trace(msg string, args ...any) { e.opts.Logger.Debug(msg, args...) }
+
+// traced is what tells a request and a server in the trace.
+func (e *Engine) traced(id rules.RequestID, server rules.ServerID) []any {
+	var name string
+	if r, ok := e.requests.Get(slot.ID(id)); ok {
+		name = r.name
+		if server == 0 {
+			server = r.server
+		}
+	}
+	return []any{"id", id, "name", name, "server", e.serverName(server)}
+}
+
+func (e *Engine) serverName(id rules.ServerID) string {
+	if s := e.servers[id]; s != nil {
+		return s.name
+	}
+	return ""
+}
+
+// traceEvent logs what the rules are told.
+func (e *Engine) traceEvent(ev rules.Event) {
+	switch ev := ev.(type) {
+	case rules.Request:
+		e.trace("asked", append(e.traced(ev.ID, ev.Holder), "class", ev.Class, "group", ev.Group, "key", ev.Key, "wait", ev.Deadline,
+			"stray", ev.Stray, "returned", ev.Returned)...)
+	case rules.Carried:
+		e.trace("carried", append(e.traced(ev.ID, ev.Server), "class", ev.Class, "group", ev.Group)...)
+	case rules.Opened:
+		e.trace("up", append(e.traced(ev.ID, ev.Server), "after", ev.Elapsed)...)
+	case rules.Outcome:
+		e.trace("outcome", append(e.traced(ev.ID, ev.Server), "attempt", ev.Attempt, "result", ev.Result.String(), "after", ev.Elapsed,
+			"settled", ev.Settled)...)
+	case rules.Expired:
+		e.trace("expired", e.traced(ev.ID, 0)...)
+	case rules.MessageDelay:
+		e.trace("slow", "server", e.serverName(ev.Server), "delay", ev.Delay)
+	case rules.LoadReport:
+		e.trace("report", "server", e.serverName(ev.Server), "load", ev.Load, "held", ev.Held)
+	case rules.List:
+		for _, s := range ev.Servers {
+			e.trace("told", "server", e.serverName(s.ID), "number", s.ID, "state", int(s.State), "started", s.Started, "weight", s.Capacity,
+				"zone", s.Zone)
+		}
+	}
+}
+
+// traceAction logs what the rules decide.
+func (e *Engine) traceAction(a rules.Action) {
+	switch a := a.(type) {
+	case rules.Send:
+		var cold int64 // the server's age in milliseconds; 0: it started long ago
+		if s := e.servers[a.Server]; s != nil && s.shown().Started > 0 {
+			cold = (e.now - s.shown().Started).Milliseconds()
+		}
+		e.trace("send", append(e.traced(a.ID, a.Server), "timeout", a.Timeout, "age_ms", cold)...)
+	case rules.Refuse:
+		e.trace("refuse", append(e.traced(a.ID, 0), "after", a.RetryAfter)...)
+	case rules.Fail:
+		e.trace("fail", e.traced(a.ID, 0)...)
+	case rules.Move:
+		e.trace("move", e.traced(a.ID, 0)...)
+	case rules.Ask:
+		e.trace("ask", "server", e.serverName(a.Server))
+	case rules.Watch:
+		e.trace("watch")
+	}
+}
--- a/rules/api.go
+++ b/rules/api.go
@@ -203,6 +203,15 @@
 	Moot                 // never sent
 )
 
+// String names a result.
+func (r Result) String() string {
+	names := [...]string{"ok", "errored", "full", "timed out", "connect failed", "reset", "cancelled", "moot"}
+	if r < 0 || int(r) >= len(names) {
+		return "unknown"
+	}
+	return names[r]
+}
+
 // NeverRan reports whether the result proves that the attempt had no effect.
 func (r Result) NeverRan() bool { return r == Full || r == ConnectFailed || r == Moot }
 
