Budget cold servers by what fills them over their warm-up, at any age

Each try at a cold server was logged: 15 to 30 a second a server, of which 0.1 to 0.7 were to be let in, where the budget was 1 to 3.

ColdShare is needed no more.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -94,7 +94,7 @@
 	g.engine = drive.New(engine.New(engine.Options{
 		Sockets: c.Limits.ForClients(), Openings: c.Limits.Idle(), Classes: classes, RetryAfter: c.Rules.MaxRetryAfter, DefaultWait: c.Node.LongestWait, AnswerSlack: c.Node.AnswerSlack,
 		Pass: c.Node.Pass, Park: c.Rules.Park, TellsDelay: c.Node.TellsDelay, MessageAim: c.Node.MessageAim, Probes: c.Node.Probes, Drain: c.Drain,
-		Figures: g.figures, Logger: g.logger,
+		Figures: g.figures, Logger: g.logger, Trace: g.logger.Enabled(context.Background(), slog.LevelDebug),
 	}, balancer, g, g.watcher, attempts))
 	g.lines = attempts
 	if n := g.nat; n != nil {
--- a/internal/engine/act.go
+++ b/internal/engine/act.go
@@ -13,13 +13,12 @@
 	if len(e.queue) > 1 {
 		return // called from an action; the loop below gets to it
 	}
-	traces := e.traces()
 	for i := 0; i < len(e.queue); i++ {
-		if traces {
+		if e.opts.Trace {
 			e.traceEvent(e.queue[i])
 		}
 		for _, a := range e.rules.Handle(e.now, e.queue[i]) {
-			if traces {
+			if e.opts.Trace {
 				e.traceAction(a)
 			}
 			e.act(a)
--- a/internal/engine/api.go
+++ b/internal/engine/api.go
@@ -170,4 +170,5 @@
 	Drain       time.Duration // from Stop to the end
 	Figures     *metrics.Set  // what is reported; nil: nobody reads it
 	Logger      *slog.Logger
+	Trace       bool // log each request's way, at level debug
 }
--- a/internal/engine/delay.go
+++ b/internal/engine/delay.go
@@ -120,7 +120,7 @@
 func (e *Engine) probe(id rules.ServerID, s *server) {
 	if e.opts.Probes && e.now-s.meter.askedAt >= probeEvery {
 		s.meter.askedAt = e.now
-		if e.traces() {
+		if e.opts.Trace {
 			e.trace("probe", "server", s.name)
 		}
 		e.prober.Probe(id, s.addr)
--- a/internal/engine/trace.go
+++ b/internal/engine/trace.go
@@ -1,17 +1,12 @@
 package engine
 
 import (
-	"context"
-	"log/slog"
-
 	"example.org/milletvane/internal/slot"
 	"example.org/milletvane/rules"
 )
 
 // The trace follows each request through a gateway, by its client's name for it, and with the logs of all gateways
-// through the fleet. It is logged at level debug, and costs a comparison where that is off.
-
-func (e *Engine) traces() bool { return e.opts.Logger.Enabled(context.Background(), slog.LevelDebug) }
+// through the fleet. It is logged at level debug where Options.Trace is set.
 
 func (e *Engine) trace(msg string, args ...any) { e.opts.Logger.Debug(msg, args...) }
 
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -284,7 +284,8 @@
 }
 
 // takeToken reports whether a cold server's budget allows one more connection, and spends it. It guards
-// against gateways that together push a fresh server over: each spends its part of what the settings allow.
+// against gateways that together push a fresh server over: each spends its part of what the settings allow,
+// that is a multiple of what fills the server over its warm-up, at any age.
 // Where that is less than one connection chance decides, so that the sum keeps to the budget, and what is not
 // used lapses. A gateway that comes by more seldom would lose all: its chance is its part of the rate over
 // that of its tries, which first lookups are. It could hurt where much of the fleet is cold and little else
@@ -293,8 +294,7 @@
 	if s.tokens == 0 && s.tokensAt == b.now { // tried at this moment already
 		return false
 	}
-	capacity := b.set.ColdShare + (1-b.set.ColdShare)*b.coldAge(s)
-	rate := coldSafety * max(b.set.TipMultiple, 1) * capacity * b.fullConnections(s) /
+	rate := coldSafety * max(b.set.TipMultiple, 1) * b.fullConnections(s) /
 		b.set.ColdTime.Seconds() / float64(b.set.Gateways)
 	kept := coldKept * b.set.TipTime.Seconds()
 	chance := fraction(mix(uint64(r.ID), uint64(s.ID))) // anew for each try of a client
