Ask others for room where a gateway knows slow servers alone, and move groups whole

Counted at six moments: 32 to 60 gateways had a slow server, 12 to 36 of them had heard of no other within a second, so room() was 0 and moveAway moved nobody. Of the rest, a random part of every group left (pick.chance goes by client), and the server went on paying for each group. Ruled out: that moves are too slow by their pace, as gateways that know of room move at 5 a second.

--- a/internal/engine/delay.go
+++ b/internal/engine/delay.go
@@ -32,6 +32,8 @@
 
 const (
 	probeEvery = time.Second
+	easyLoad   = 0.6                     // a server under this is asked less often, as its messages are far from slow,
+	probeEasy  = 2 * probeEvery          // and before its last report is too old to tell of now
 	reportFor  = 2500 * time.Millisecond // a report tells of now for so long
 	// An unloaded server takes about this part of the shortest wanted time for a message.
 	messagePart = 12
@@ -118,7 +120,11 @@
 
 // probe asks a server for its load while this gateway has connections there.
 func (e *Engine) probe(id rules.ServerID, s *server) {
-	if e.opts.Probes && e.now-s.meter.askedAt >= probeEvery {
+	every := probeEvery
+	if m := &s.meter; m.reportAt > 0 && m.load < easyLoad {
+		every = probeEasy
+	}
+	if e.opts.Probes && e.now-s.meter.askedAt >= every {
 		s.meter.askedAt = e.now
 		if e.opts.Trace {
 			e.trace("probe", "server", s.name)
--- a/rules/learned.go
+++ b/rules/learned.go
@@ -30,8 +30,6 @@
 	Ejections   int
 	Strikes     float64
 	StrikesAt   time.Duration
-	Tokens      float64 // of its budget while it is cold
-	TokensAt    time.Duration
 }
 
 func (m mean) figure() Figure { return Figure{m.value, m.weight} }
@@ -57,7 +55,6 @@
 		l.Servers = append(l.Servers, LearnedServer{
 			ID: s.ID, Started: s.Started, Limit: limit, CutAt: s.cutAt, PausedUntil: s.pausedUntil,
 			Ejected: s.ejected, Ejections: s.ejections, Strikes: s.strikes.sum, StrikesAt: s.strikes.at,
-			Tokens: s.tokens, TokensAt: s.tokensAt,
 		})
 	}
 	return l
@@ -82,12 +79,11 @@
 			s.limit = k.Limit
 		}
 		// Nothing lasts longer than it would have from now on.
-		s.cutAt, s.tokensAt = min(k.CutAt, b.now), min(k.TokensAt, b.now)
+		s.cutAt = min(k.CutAt, b.now)
 		s.pausedUntil = min(k.PausedUntil, b.now+delayFor)
 		s.ejections = max(k.Ejections, 0)
 		s.ejected = min(k.Ejected, b.now+ejectFor<<ejectDoubled)
 		s.strikes = fading{k.Strikes, min(k.StrikesAt, b.now)}
-		s.tokens = min(max(k.Tokens, 0), 1)
 	}
 	for _, s := range b.order {
 		if s.State != Ready {
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -49,6 +49,7 @@
 	groupMoved  = 2 * groupCost           // the same, shared by its members, where moves rank connections
 	moveShare   = 1.0                     // of a slow server's connections a second, where all have room,
 	moveLeast   = 5.0                     // or of this many: a few are moved soon
+	moveWhole   = 0.8                     // part of the choice whom to move that all of a group share
 	triedMost   = 1.5                     // set-ups tried for each that stands; what is over is shed
 
 	evidenceHalf = 3 * time.Second // evidence halves in this time
@@ -62,8 +63,8 @@
 	retryShare = 0.2              // and for each request taken so many more; never more than this
 
 	coldSafety = 0.6 // part of a cold server's budget that is used
-	coldKept   = 2.0 // unspent budget is kept for this many times the time in which a server tips over,
-	coldTries  = 4   // first of a request's, in which cold servers are tried that a gateway tries more seldom
+	coldTries  = 4   // lookups, the first of a request's, in which cold servers are tried
+	coldApart  = 0.5 // of the time between two of a gateway's connections to one, two are this far apart
 	coldRoom   = 6.0 // connections that a server is held to bear at least
 
 	reportFor = time.Second            // a report is placed by for so long
@@ -81,11 +82,7 @@
 	askEach  = 150 * time.Millisecond // and spread over this for each gateway, as they fail together
 )
 
-// Timer references.
-const (
-	refHousekeeping = 1
-	refOnce         = 2
-)
+const refHousekeeping, refOnce = 1, 2 // of timers
 
 // Handle takes one event and returns what to do, valid until the next call. Time never runs backwards.
 func (b *Balancer) Handle(now time.Duration, ev Event) []Action {
@@ -187,7 +184,7 @@
 	s := b.servers[e.ID]
 	if s == nil {
 		s = &server{Server: e, sum: sum{unknown: make([]int, len(b.set.Classes))},
-			groups: map[string]int{}, tokensAt: b.now, told: b.now}
+			groups: map[string]int{}, told: b.now}
 		if e.State != Gone { // one first heard of as gone was never there to be in doubt
 			s.State = Ready
 		}
@@ -209,7 +206,7 @@
 // renew forgets what was learned of a server's process.
 func (b *Balancer) renew(s *server) {
 	s.drained, s.strikes, s.ejected, s.ejections, s.probation = false, fading{}, 0, 0, false
-	s.limit, s.pausedUntil, s.tokens, s.tokensAt = 0, 0, 0, b.now
+	s.limit, s.pausedUntil = 0, 0
 }
 
 // setState follows the list. Where only draining binds, a server that is called gone, or left out, is in
@@ -283,29 +280,21 @@
 	return max(float64(b.now-s.Started)/float64(b.set.ColdTime), 0)
 }
 
-// takeToken reports whether a cold server's budget allows one more connection, and spends it. It guards
-// against gateways that together push a fresh server over: each spends its part of what the settings allow,
-// that is a multiple of what fills the server over its warm-up, at any age.
-// Where that is less than one connection chance decides, so that the sum keeps to the budget, and what is not
-// used lapses. A gateway that comes by more seldom would lose all: its chance is its part of the rate over
-// that of its tries, which first lookups are. It could hurt where much of the fleet is cold and little else
-// has room.
-func (b *Balancer) takeToken(r *request, s *server, lookup int) bool {
-	if s.tokens == 0 && s.tokensAt == b.now { // tried at this moment already
-		return false
-	}
+// takeToken reports whether a cold server's budget allows one more connection. It guards against gateways
+// that together push a fresh server over. The budget is a multiple of what fills the server over its warm-up,
+// at any age; a gateway's chance to use it is its part over the rate at which it tries, so that the sum keeps
+// to the budget however many gateways there are and however seldom each comes by. It could hurt where much
+// of the fleet is cold and little else has room.
+func (b *Balancer) takeToken(r *request, s *server) bool {
 	rate := coldSafety * max(b.set.TipMultiple, 1) * b.fullConnections(s) /
 		b.set.ColdTime.Seconds() / float64(b.set.Gateways)
-	kept := coldKept * b.set.TipTime.Seconds()
-	chance := fraction(mix(uint64(r.ID), uint64(s.ID))) // anew for each try of a client
-	if tries := b.arrivals() * coldTries * s.Capacity / b.weight; tries*kept < 1 {
-		return lookup <= coldTries && chance < rate/tries
+	tries := b.arrivals() * coldTries * s.Capacity / b.weight
+	apart := min(coldApart/rate, b.set.TipTime.Seconds()) // in a burst the rate is learned too late
+	if (b.now-s.coldAt).Seconds() < apart || fraction(mix(uint64(r.ID), uint64(s.ID))) >= rate/tries {
+		return false
 	}
-	s.tokens = min(s.tokens+rate*(b.now-s.tokensAt).Seconds(), rate*kept)
-	s.tokensAt = b.now
-	takes := chance < s.tokens
-	s.tokens = max(s.tokens-1, 0)
-	return takes
+	s.coldAt = b.now
+	return true
 }
 
 // Requests.
@@ -581,7 +570,7 @@
 			bad++
 		}
 		if b.coldAge(s) < 1 {
-			if bad < 2 && b.takeToken(r, s, i) {
+			if bad < 2 && i <= coldTries && b.takeToken(r, s) {
 				return s
 			}
 			continue
@@ -905,6 +894,7 @@
 		s.moves = 0
 		return
 	}
+	b.sound()
 	s.moves += moveShare * b.room() * max(float64(len(s.open)+1), moveLeast) * housekeeping.Seconds()
 	for ; s.moves >= 1; s.moves-- {
 		var pick *request
@@ -913,7 +903,7 @@
 				pick = r
 			}
 		}
-		if pick == nil || b.loadOf(s)-(1-pick.chance(s.ID))*b.unit() <= s.limit {
+		if pick == nil || b.loadOf(s)-(1-pick.stays(s))*b.unit() <= s.limit {
 			break
 		}
 		b.act(Move{ID: pick.ID})
@@ -921,6 +911,17 @@
 	}
 }
 
+// sound asks one server a look whose load is not known, while clients are to be moved: a gateway that holds
+// few connections hears of the servers that hold them alone, and would find no room while others stand idle.
+func (b *Balancer) sound() {
+	b.refresh()
+	s := b.members[int(b.rand()*float64(len(b.members)))]
+	if b.set.Reports && b.soundAt < b.now && !b.toldOf(s) && b.now-s.askedAt > reportFor {
+		b.soundAt, s.askedAt = b.now, b.now
+		b.act(Ask{Server: s.ID})
+	}
+}
+
 // clear moves the connections off a server that staff took out, a part of them at each look while others have
 // room. It guards against the cut that each would suffer when the server is restarted.
 func (b *Balancer) clear(s *server) {
--- a/rules/state.go
+++ b/rules/state.go
@@ -52,6 +52,7 @@
 	forgotAt   time.Duration // when the last look for servers to forget was
 	shedding   bool          // as last logged
 	pressure   float64       // part of the connections that are on slow servers
+	soundAt    time.Duration // when a server was last asked for room for moves
 	askAfter   time.Duration // next wait
 	askAt      time.Duration // 0: nothing to ask
 }
@@ -90,9 +91,8 @@
 	askedAt  time.Duration // 0: never
 	sent     int           // attempts since the last report
 
-	tryAt    time.Duration // back by hand and untried: tried from then on; 0: nothing to try
-	tokens   float64       // of a cold server's budget
-	tokensAt time.Duration
+	coldAt time.Duration // when a connection was last sent to it on a cold server's budget
+	tryAt  time.Duration // back by hand and untried: tried from then on; 0: nothing to try
 }
 
 type request struct {
@@ -303,6 +303,12 @@
 	return fraction(mix(r.client, uint64(of)))
 }
 
+// stays is the chance that decides which connections are the last to be moved off a server, alike at every
+// gateway. A group's members go together, as what it costs the server is paid until the last has gone.
+func (r *request) stays(s *server) float64 {
+	return moveWhole*fraction(mix(r.hash, uint64(s.ID))) + (1-moveWhole)*r.chance(s.ID)
+}
+
 func (b *Balancer) attach(r *request, s *server) {
 	r.server = s
 	s.open = append(s.open, r)
