Let cold servers' budgets grow with their power, and give attempts their class's aim

Cold ones of 5 to 14 s took 0.7 connections a second of the 4 that each bears by the rule at its start. At fault: takeToken's budget, which was that of the start at any age, and timeout's half an aim.

The budget grows from the settings' start share as the power does.

--- a/rules/learned.go
+++ b/rules/learned.go
@@ -10,7 +10,6 @@
 	Servers []LearnedServer
 	Classes []Figure // mean loads by class, in the settings' order
 	Load    Figure   // and of all together
-	SetUp   Figure   // nanoseconds
 	Bears   Figure   // connections that a warm server of weight 1 bears
 }
 
@@ -43,7 +42,7 @@
 
 // Learned returns what the Balancer has learned.
 func (b *Balancer) Learned() Learned {
-	l := Learned{Load: b.anyLoad.figure(), SetUp: b.setup.figure(), Bears: b.bears.figure()}
+	l := Learned{Load: b.anyLoad.figure(), Bears: b.bears.figure()}
 	for _, m := range b.loads {
 		l.Classes = append(l.Classes, m.figure())
 	}
@@ -64,7 +63,7 @@
 // told of drains counts as told long ago.
 func (b *Balancer) Learn(now time.Duration, l Learned) {
 	b.now = max(b.now, now)
-	b.anyLoad, b.setup, b.bears = l.Load.mean(), l.SetUp.mean(), l.Bears.mean()
+	b.anyLoad, b.bears = l.Load.mean(), l.Bears.mean()
 	if len(l.Classes) == len(b.loads) {
 		for i, f := range l.Classes {
 			b.loads[i] = f.mean()
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -282,11 +282,12 @@
 
 // takeToken reports whether a cold server's budget allows one more connection. It guards against gateways
 // that together push a fresh server over. The budget is a multiple of what fills the server over its warm-up,
-// at any age; a gateway's chance to use it is its part over the rate at which it tries, so that the sum keeps
-// to the budget however many gateways there are and however seldom each comes by. It could hurt where much
-// of the fleet is cold and little else has room.
+// and grows with its power; a gateway's chance to use it is its part over the rate at which it tries, so that
+// the sum keeps to it however many gateways there are and however seldom each comes by. It could hurt where
+// much of the fleet is cold and little else has room.
 func (b *Balancer) takeToken(r *request, s *server) bool {
-	rate := coldSafety * max(b.set.TipMultiple, 1) * b.fullConnections(s) /
+	grown := 1 + (1/b.set.ColdShare-1)*b.coldAge(s)
+	rate := coldSafety * max(b.set.TipMultiple, 1) * grown * b.fullConnections(s) /
 		b.set.ColdTime.Seconds() / float64(b.set.Gateways)
 	tries := b.arrivals() * coldTries * s.Capacity / b.weight
 	apart := min(coldApart/rate, b.set.TipTime.Seconds()) // in a burst the rate is learned too late
@@ -430,8 +431,8 @@
 	b.end(r)
 }
 
-// timeout is the time that the next attempt has: long against the set-up times seen, short enough to
-// leave time for another.
+// timeout is the time that the next attempt has: all in which a set-up is worth its full price. One that is
+// given up sooner was measured to be work lost at servers that are busy with the set-ups of others.
 func (b *Balancer) timeout(r *request) time.Duration {
 	left := r.deadline - b.now
 	if r.attempts >= b.set.MaxAttempts {
@@ -441,8 +442,7 @@
 	if aim == 0 {
 		aim = r.Deadline / 3
 	}
-	wait := max(time.Duration(8*b.setup.value), aim/2)
-	return min(wait, aim, left)
+	return min(aim, left)
 }
 
 func (b *Balancer) onOpened(ev Opened) {
@@ -452,7 +452,6 @@
 	}
 	r.opened = true
 	r.server.pending--
-	b.setup.add(float64(ev.Elapsed))
 	b.stood.add(b.now, 1)
 	r.server.strikes.sum /= 2
 	r.server.probation, r.server.proven = false, true
--- a/rules/state.go
+++ b/rules/state.go
@@ -42,7 +42,6 @@
 	tenantHeld []float64     // the same by tenant
 	loads      []mean        // known loads by class
 	anyLoad    mean          // and all together
-	setup      mean          // set-up times
 	bears      mean          // connections that a warm server's reports say it bears, for a weight of 1
 	taken      window        // requests
 	further    window        // attempts beyond each request's first
@@ -224,6 +223,12 @@
 	}
 	b.set.Gateways = max(set.Gateways, 1)
 	b.set.MaxAttempts = max(set.MaxAttempts, 1)
+	if !(set.ColdShare >= 0 && set.ColdShare <= 1) {
+		return nil, fmt.Errorf("rules: ColdShare is %v, not between 0 and 1", set.ColdShare)
+	}
+	if set.ColdShare == 0 {
+		b.set.ColdShare = 1
+	}
 	if set.TipTime == 0 {
 		b.set.TipTime = time.Second
 	}
