--- a/internal/model/node.go
+++ b/internal/model/node.go
@@ -14,7 +14,7 @@
 	Cap       int           // connections that it holds at most; 0: no bound
 	FullTax   float64       // of its power that a full table of connections takes
 	// The rule on cold nodes: sent over TipMultiple of what it can take of new load within TipTime, it falls over and stays
-	// down. What it can take is at its start that which fills it over ColdFor, and grows with its power. 0: it bears anything.
+	// down. What it can take is that which fills it over ColdFor. 0: it bears anything.
 	TipMultiple float64
 	TipTime     time.Duration
 	TipSlack    float64 // load that is let pass in any case, for chance
@@ -102,8 +102,7 @@
 
 // tips counts what is sent to a cold node within any TipTime.
 func (n *Node) tips(now time.Duration, load float64) bool {
-	warmth := n.Warmth(now)
-	if warmth == 1 || n.TipMultiple <= 0 {
+	if n.Warmth(now) == 1 || n.TipMultiple <= 0 {
 		n.sent, n.window = nil, 0
 		return false
 	}
@@ -114,7 +113,7 @@
 	}
 	n.sent = append(n.sent[old:], sending{now, load})
 	n.window += load
-	rate := n.Cores * n.Speed / n.ColdFor.Seconds() * warmth / n.ColdShare
+	rate := n.Cores * n.Speed / n.ColdFor.Seconds()
 	return n.window > n.TipMultiple*rate*n.TipTime.Seconds()+n.TipSlack
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -46,7 +46,6 @@
 		AskWithin:      d.time("rules.ask_within_ns"),
 		Park:           d.time("family_info.park_ns"),
 		DrainGrace:     d.time("rules.stop_sending_within_ns"),
-		ColdShare:      d.float("rules.start_capacity"),
 		ColdTime:       d.time("rules.cold_ns"),
 		TipMultiple:    d.float("rules.tip_multiple"),
 		TipTime:        d.time("rules.fall_ns"),
--- a/rules/api.go
+++ b/rules/api.go
@@ -56,8 +56,7 @@
 	AskWithin      time.Duration // with AskList: who has not asked this long counts as told; 0: no such rule
 	Park           time.Duration // how long a server keeps a connection whose packets stopped; 0: not at all
 	DrainGrace     time.Duration // sends to a draining or gone server must stop within this
-	ColdShare      float64       // a fresh server can do this share of its full load; 0: it is not told
-	ColdTime       time.Duration // and all of it after this; 0: servers start warm
+	ColdTime       time.Duration // a fresh server can do all it ever can after this; 0: servers start warm
 	TipMultiple    float64       // sent over this multiple of what it can do, a cold server falls over
 	TipTime        time.Duration // when it lasts this long; 0 is taken as a second
 	GoneIsAdvice   bool          // a server called gone may still be sent to; only draining binds
--- a/rules/cold_test.go
+++ b/rules/cold_test.go
@@ -31,8 +31,7 @@
 					}
 				}
 			}
-			grown := 1 + (1/set.ColdShare-1)/20
-			limit := set.TipMultiple * grown * coldRoom / set.ColdTime.Seconds() * tip.Seconds()
+			limit := set.TipMultiple * coldRoom / set.ColdTime.Seconds() * tip.Seconds()
 			if mean := float64(sent) / bursts; mean > 1.2*limit || mean < 0.2*limit {
 				t.Errorf("%d gateways, %v: %.2f in a burst, the limit is %.2f", gateways, tip, mean, limit)
 			}
--- a/rules/random_test.go
+++ b/rules/random_test.go
@@ -175,16 +175,12 @@
 			n++
 		}
 	}
-	grown := 1.0
-	if d.set.ColdShare > 0 {
-		grown += (1/d.set.ColdShare - 1) * float64(age) / float64(d.set.ColdTime)
-	}
 	most := 0
 	for _, s := range d.b.order {
 		most = max(most, len(s.open))
 	}
 	full := max(float64(most*d.set.Gateways)*4, coldRoom*float64(d.set.Gateways))
-	allowed := d.set.TipMultiple * grown * full * tipTime.Seconds() / d.set.ColdTime.Seconds() /
+	allowed := d.set.TipMultiple * full * tipTime.Seconds() / d.set.ColdTime.Seconds() /
 		float64(d.set.Gateways)
 	if float64(n) > allowed+3 { // under one connection chance decides; another test holds the sum
 		d.t.Fatalf("%d connections in %v to server %d, %v old; %.1f allowed",
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -282,12 +282,11 @@
 
 // takeToken reports whether a cold server's budget allows one more connection. It guards against gateways
 // that together push a fresh server over. The budget is a multiple of what fills the server over its warm-up,
-// and grows with its power; a gateway's chance to use it is its part over the rate at which it tries, so that
-// the sum keeps to it however many gateways there are and however seldom each comes by. It could hurt where
-// much of the fleet is cold and little else has room.
+// at any age; a gateway's chance to use it is its part over the rate at which it tries, so that the sum keeps
+// to it however many gateways there are and however seldom each comes by. It could hurt where much of the
+// fleet is cold and little else has room.
 func (b *Balancer) takeToken(r *request, s *server) bool {
-	grown := 1 + (1/b.set.ColdShare-1)*b.coldAge(s)
-	rate := coldSafety * max(b.set.TipMultiple, 1) * grown * b.fullConnections(s) /
+	rate := coldSafety * max(b.set.TipMultiple, 1) * b.fullConnections(s) /
 		b.set.ColdTime.Seconds() / float64(b.set.Gateways)
 	tries := b.arrivals() * coldTries * s.Capacity / b.weight
 	apart := min(coldApart/rate, b.set.TipTime.Seconds()) // in a burst the rate is learned too late
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -18,7 +18,7 @@
 func settings() Settings {
 	return Settings{
 		Gateways: 2, MaxAttempts: 3, Park: 5 * sec, DrainGrace: 500 * ms,
-		ColdShare: 0.2, ColdTime: 20 * sec, TipMultiple: 3,
+		ColdTime: 20 * sec, TipMultiple: 3,
 		Classes: []Class{
 			{Name: "safe", Effect: Safe, Aim: 500 * ms, Deadline: 2 * sec, Worth: 1, MessageAim: 90 * ms},
 			{Name: "keyed", Effect: Keyed, Scope: ScopeCell, Window: 3 * sec,
@@ -586,7 +586,7 @@
 func TestColdServerHasABudgetAtAnyNumberOfGateways(t *testing.T) {
 	for _, gateways := range []int{1, 4, 235} {
 		set := settings()
-		set.Gateways, set.TipTime, set.ColdShare = gateways, 2*sec, 0.5
+		set.Gateways, set.TipTime = gateways, 2*sec
 		var worlds []*world
 		for range gateways {
 			worlds = append(worlds, newWorld(t, set, 8))
@@ -625,10 +625,8 @@
 		}
 		total := 0
 		for window, n := range sent {
-			// Three times what fills it over the cold time, which is thirty connections, and as much more
-			// as its power has grown since its start.
-			age := float64(9+2*(window-1)) / 20
-			if allowed := 3.0 * 30 / 20 * 2 * (0.5 + 0.5*age) / 0.5; float64(n) > allowed {
+			// Three times what fills it over the cold time, which is thirty connections.
+			if allowed := 3.0 * 30 / 20 * 2; float64(n) > allowed {
 				t.Errorf("%d gateways sent %d in window %d, %.1f are allowed", gateways, n, window, allowed)
 			}
 			total += n
--- a/rules/state.go
+++ b/rules/state.go
@@ -223,12 +223,6 @@
 	}
 	b.set.Gateways = max(set.Gateways, 1)
 	b.set.MaxAttempts = max(set.MaxAttempts, 1)
-	if !(set.ColdShare >= 0 && set.ColdShare <= 1) {
-		return nil, fmt.Errorf("rules: ColdShare is %v, not between 0 and 1", set.ColdShare)
-	}
-	if set.ColdShare == 0 {
-		b.set.ColdShare = 1
-	}
 	if set.TipTime == 0 {
 		b.set.TipTime = time.Second
 	}
