--- a/rules/rules.go
+++ b/rules/rules.go
@@ -64,6 +64,7 @@
 
 	coldSafety = 0.6 // part of a cold server's budget that is used
 	coldTries  = 4   // lookups, the first of a request's, in which cold servers are tried
+	coldGroup  = 0.1 // part of the requests that a large group has, and that one server may get
 	coldApart  = 0.5 // of the time between two of a gateway's connections to one, two are this far apart
 	coldRoom   = 6.0 // connections that a server is held to bear at least
 
@@ -288,7 +289,7 @@
 func (b *Balancer) takeToken(r *request, s *server) bool {
 	rate := coldSafety * max(b.set.TipMultiple, 1) * b.fullConnections(s) /
 		b.set.ColdTime.Seconds() / float64(b.set.Gateways)
-	tries := b.arrivals() * coldTries * s.Capacity / b.weight
+	tries := b.arrivals() * max(coldTries*s.Capacity/b.weight, coldGroup)
 	apart := min(coldApart/rate, b.set.TipTime.Seconds()) // in a burst the rate is learned too late
 	if (b.now-s.coldAt).Seconds() < apart || fraction(mix(uint64(r.ID), uint64(s.ID))) >= rate/tries {
 		return false
