--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -37,6 +37,9 @@
 // Rules reads the settings that the rules are told.
 func (p Pairs) Rules() (*rules.Settings, error) {
 	d := decoder{p: p}
+	if d.float("rules.start_capacity") > 1 { // of no use to the rules, but a contradiction
+		d.fail("rules.start_capacity", "a share, between 0 and 1")
+	}
 	s := &rules.Settings{
 		Seed:           uint64(d.integer("init_seed")),
 		Gateways:       int(d.integer("replicas_of_me")),
--- a/rules/cold_test.go
+++ b/rules/cold_test.go
@@ -25,7 +25,7 @@
 				id++
 				for j := range coldTries {
 					if mix(uint64(id), uint64(j))%members == 0 &&
-						w.b.takeToken(&request{Request: Request{ID: id}}, s) {
+						w.b.admitCold(&request{Request: Request{ID: id}}, s) {
 						sent++
 						break
 					}
@@ -39,28 +39,28 @@
 	}
 }
 
-// The members of a large group share their lookups, so that all of them may try one cold server at once,
-// however many servers there are. It gets no more than the limit of them, but for chance.
-func TestGroupsBurstKeepsColdLimit(t *testing.T) {
-	for _, gateways := range []int{3, 80, 300} {
-		set := settings()
-		set.Gateways = gateways
-		w := newWorld(t, set, 80)
-		w.feed(List{Mode: Changes, Servers: []Server{{ID: 900, Capacity: 1, Started: w.now}}})
-		w.b.refresh()
-		s := w.b.servers[900]
-		sent, bursts := 0, 100*300/gateways
-		for id := range bursts * gateways / 10 { // a tenth of the gateways has a member each
-			w.b.now += ms
-			w.b.came, s.coldAt, s.Started = fading{}, 0, w.b.now-sec
-			w.b.came.add(w.b.now, 1)
-			if w.b.takeToken(&request{Request: Request{ID: RequestID(id + 1)}}, s) {
-				sent++
-			}
-		}
-		limit := set.TipMultiple * coldRoom / set.ColdTime.Seconds()
-		if mean := float64(sent) / float64(bursts); mean > 1.3*limit || mean < 0.1*limit {
-			t.Errorf("%d gateways: %.2f in a burst, the limit is %.2f", gateways, mean, limit)
+// The members of a large group share their lookups, so that many may try one cold server at once, however
+// many servers there are. On a day with 300 gateways 111 came back together; servers fell at 15 connections
+// and more.
+func TestGroupsBurstTipsNoColdServer(t *testing.T) {
+	const members, bursts, bears, falls = 111, 200, 20, 15
+	set := settings()
+	set.Gateways, set.TipMultiple, set.ColdTime = 300, 4, 21*sec
+	w := newWorld(t, set, 80)
+	w.feed(List{Mode: Changes, Servers: []Server{{ID: 900, Capacity: 1, Started: w.now}}})
+	w.b.refresh()
+	w.b.bears.add(bears)
+	s := w.b.servers[900]
+	sent := 0
+	for id := range bursts * members {
+		w.b.now += ms
+		w.b.came, s.coldAt, s.Started = fading{}, 0, w.b.now-sec
+		w.b.came.add(w.b.now, 1)
+		if w.b.admitCold(&request{Request: Request{ID: RequestID(id + 1)}}, s) {
+			sent++
 		}
 	}
+	if mean := float64(sent) / bursts; mean >= falls || mean < 1 {
+		t.Errorf("%.2f in a burst", mean)
+	}
 }
--- a/rules/daily_test.go
+++ b/rules/daily_test.go
@@ -94,7 +94,7 @@
 	for _, f := range []struct {
 		gateways int
 		every    time.Duration // between requests at one gateway
-	}{{48, 500 * ms}, {300, 500 * ms}, {300, 2500 * ms}} {
+	}{{48, 500 * ms}, {300, 500 * ms}, {300, 3 * sec}} {
 		set := settings()
 		set.Gateways, set.ColdTime = f.gateways, 2*sec
 		const span, members = 10 * sec, 50
@@ -104,21 +104,21 @@
 			w.feed(List{Mode: Changes, Servers: []Server{{ID: 900, Capacity: 1}}})
 			w.b.refresh()
 			s := w.b.servers[900]
-			for i := range int((10*sec + span) / f.every) { // ten seconds ahead, to learn the rate
+			for i := 0; time.Duration(i)*f.every < 10*sec+span; i++ { // ten seconds ahead, to learn the rate
 				w.now += f.every
 				w.b.now, s.Started = w.now, w.now // stays as cold
 				w.b.came.add(w.now, 1)
 				id := RequestID(g*1000 + i + 1)
 				for j := range coldTries {
 					if mix(uint64(id), uint64(j))%members == 0 && time.Duration(i)*f.every >= 10*sec &&
-						w.b.takeToken(&request{Request: Request{ID: id}}, s) {
+						w.b.admitCold(&request{Request: Request{ID: id}}, s) {
 						sent++
 					}
 				}
 			}
 		}
 		budget := coldSafety * 3 * coldRoom / 2 * span.Seconds()
-		if n := float64(sent); n > 1.3*budget || n < 0.1*budget {
+		if n := float64(sent); n > 1.3*budget || n < 0.15*budget {
 			t.Errorf("%d gateways, a request every %v: %d sent of %.1f", f.gateways, f.every, sent, budget)
 		}
 	}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -64,7 +64,7 @@
 
 	coldSafety = 0.6 // part of a cold server's budget that is used
 	coldTries  = 4   // lookups, the first of a request's, in which cold servers are tried
-	coldGroup  = 0.1 // part of the requests that a large group has, and that one server may get
+	coldGroup  = 0.1 // part of the requests that are counted on at one server at the least
 	coldApart  = 0.5 // of the time between two of a gateway's connections to one, two are this far apart
 	coldRoom   = 6.0 // connections that a server is held to bear at least
 
@@ -281,12 +281,12 @@
 	return max(float64(b.now-s.Started)/float64(b.set.ColdTime), 0)
 }
 
-// takeToken reports whether a cold server's budget allows one more connection. It guards against gateways
+// admitCold reports whether a cold server's budget allows one more connection. It guards against gateways
 // that together push a fresh server over. The budget is a multiple of what fills the server over its warm-up,
 // at any age; a gateway's chance to use it is its part over the rate at which it tries, so that the sum keeps
 // to it however many gateways there are and however seldom each comes by. It could hurt where much of the
 // fleet is cold and little else has room.
-func (b *Balancer) takeToken(r *request, s *server) bool {
+func (b *Balancer) admitCold(r *request, s *server) bool {
 	rate := coldSafety * max(b.set.TipMultiple, 1) * b.fullConnections(s) /
 		b.set.ColdTime.Seconds() / float64(b.set.Gateways)
 	tries := b.arrivals() * max(coldTries*s.Capacity/b.weight, coldGroup)
@@ -569,7 +569,7 @@
 			bad++
 		}
 		if b.coldAge(s) < 1 {
-			if bad < 2 && i <= coldTries && b.takeToken(r, s) {
+			if bad < 2 && i <= coldTries && b.admitCold(r, s) {
 				return s
 			}
 			continue
