Close connections by ending this side first, and leave reused descriptors alone

Seen by reading: Close called close(2), which resets the connection where bytes of the peer's are unread, and the peer loses BUSY, ERR or MOVE that it has not read yet (conn.go, close). And Conn.ready noted a hang-up of a paused connection without looking whether it was closed meanwhile: EPOLL_CTL_MOD then went to a descriptor that may be another connection's, whose events went to nobody from then on. Ruled out: the generation of slots guards the loop's look-up alone, not what follows it; all other calls looked at closed under the lock.

Change: one state a connection (dialing, standing, closing, lingering, closed) in place of three flags; Close ends this side, reads and throws away what comes for 500 ms or 256 KiB at the most; over a budget of descriptors the ones that have lingered longest go first; Group.Settle waits for them at the end of the program.

--- a/internal/reactor/conn.go
+++ b/internal/reactor/conn.go
@@ -1,6 +1,7 @@
 package reactor
 
 import (
+	"container/list"
 	"net/netip"
 	"sync"
 	"syscall"
@@ -20,6 +21,12 @@
 	lowWater  = 16 << 10
 )
 
+// A connection that this side has ended is kept so long for the peer to end its own, and for so many bytes of the peer's.
+const (
+	lingerFor   = 500 * time.Millisecond
+	lingerBytes = 256 << 10
+)
+
 // partsMost is how many parts are gathered into one write.
 const partsMost = 16
 
@@ -33,23 +40,34 @@
 	slot     int32
 	gen      int32
 	listed   bool // in the loop's slots
-	dialing  bool
-	closed   bool
-	closing  bool   // once all is written
+	state    state
 	want     uint32 // what is watched for
 	paused   uint8  // for what reasons
 	hung     bool   // while paused
 	out      []byte // waits for the peer
 	taken    int    // of out
 	stall    *time.Timer
-	high     int     // over this much out, sources are left unread; 0: highWater
-	queued   int     // in the kernel, at the last look for a stall
-	sources  []*Conn // unread until out is short again
-	deadline *time.Timer
+	high     int         // over this much out, sources are left unread; 0: highWater
+	queued   int         // in the kernel, at the last look for a stall
+	sources  []*Conn     // unread until out is short again
+	deadline *time.Timer // of the dialing, or of the lingering
+	drained  int         // bytes that came while it lingered
+	place    *list.Element
 
 	in []byte // not taken yet; the loop alone uses it
 }
 
+// state is how far a connection has come. States follow in this order, but closed may follow each.
+type state uint8
+
+const (
+	dialing   state = iota // not up yet
+	standing               // both ways
+	closing                // what waits is written, nothing is read
+	lingering              // this side has ended; what still comes is read and thrown away until the peer ends too
+	closed
+)
+
 // begin takes an accepted connection into its loop.
 func (c *Conn) begin() {
 	c.mu.Lock()
@@ -63,14 +81,15 @@
 }
 
 func (c *Conn) enlist() (err error) {
-	if c.closed {
+	if c.state == closed {
 		return ErrClosed
 	}
 	if c.slot, c.gen, err = c.loop.add(c.fd, c, c.want); err != nil {
-		c.closed = true
+		c.state = closed
 		return err
 	}
 	c.listed = true
+	c.loop.group.hold(1)
 	return nil
 }
 
@@ -81,7 +100,7 @@
 	if beside != nil {
 		l = beside.loop
 	}
-	c := &Conn{loop: l, fd: -1, handler: h, dialing: true, want: unix.EPOLLOUT}
+	c := &Conn{loop: l, fd: -1, handler: h, want: unix.EPOLLOUT}
 	l.post(func() { c.connect(addr, within) })
 	return c
 }
@@ -90,12 +109,12 @@
 	err := func() error {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		if c.closed {
+		if c.state == closed {
 			return nil
 		}
 		to, err := netip.ParseAddrPort(addr)
 		if err != nil {
-			c.closed = true
+			c.state = closed
 			return err
 		}
 		family := unix.AF_INET6
@@ -105,14 +124,14 @@
 		}
 		fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
 		if err != nil {
-			c.closed = true
+			c.state = closed
 			return err
 		}
 		c.fd = fd
 		unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
 		if err = unix.Connect(fd, sa); err != nil && err != unix.EINPROGRESS {
 			unix.Close(fd)
-			c.closed = true
+			c.state = closed
 			return err
 		}
 		if err = c.enlist(); err != nil {
@@ -130,11 +149,11 @@
 // connected ends the dialing.
 func (c *Conn) connected(err error) {
 	c.mu.Lock()
-	if c.closed || !c.dialing {
+	if c.state != dialing {
 		c.mu.Unlock()
 		return
 	}
-	c.dialing = false
+	c.state = standing
 	c.deadline.Stop()
 	if err == nil {
 		if code, e := unix.GetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_ERROR); e != nil {
@@ -171,7 +190,7 @@
 	if len(c.out) > c.taken {
 		events |= unix.EPOLLOUT
 	}
-	if c.closing {
+	if c.state == closing {
 		events &^= unix.EPOLLIN | unix.EPOLLRDHUP
 	}
 	c.watch(events)
@@ -180,42 +199,52 @@
 // ready is called by the loop.
 func (c *Conn) ready(events uint32) {
 	c.mu.Lock()
-	dialing, closing, paused := c.dialing, c.closing, c.paused != 0
+	at, paused := c.state, c.paused != 0
 	c.mu.Unlock()
-	if dialing {
-		c.connected(nil)
-		return
-	}
-	if events&unix.EPOLLOUT != 0 {
+	gone := events&(unix.EPOLLERR|unix.EPOLLHUP) != 0
+	if events&unix.EPOLLOUT != 0 && at != dialing {
 		c.flush()
 	}
 	switch {
-	case closing:
-		if events&(unix.EPOLLERR|unix.EPOLLHUP) != 0 {
+	case at == dialing:
+		c.connected(nil)
+	case at == closing:
+		if gone {
 			c.Abort(false)
 		}
+	case at == lingering:
+		c.drain()
 	case !paused:
-		if events&(unix.EPOLLIN|unix.EPOLLRDHUP|unix.EPOLLERR|unix.EPOLLHUP) != 0 {
+		if gone || events&(unix.EPOLLIN|unix.EPOLLRDHUP) != 0 {
 			c.read()
 		}
-	case events&(unix.EPOLLERR|unix.EPOLLHUP) != 0:
+	case gone:
 		// Left unread, but gone: there is no peer to keep it for.
 		c.end(unix.ECONNRESET)
 	case events&unix.EPOLLRDHUP != 0:
-		c.mu.Lock()
+		c.hangup()
+	}
+}
+
+// hangup notes that the peer of a paused connection has ended its side. Whoever closed the connection meanwhile has freed
+// its descriptor, which may be another's by now.
+func (c *Conn) hangup() {
+	c.mu.Lock()
+	told := c.state == standing && !c.hung
+	if told {
 		c.hung = true
 		c.rewatch()
-		c.mu.Unlock()
-		if h, ok := c.handler.(Hanger); ok {
-			h.OnHangup(c)
-		}
+	}
+	c.mu.Unlock()
+	if h, ok := c.handler.(Hanger); ok && told {
+		h.OnHangup(c)
 	}
 }
 
 // read takes what has come and shows it to the handler.
 func (c *Conn) read() {
 	c.mu.Lock()
-	if c.closed {
+	if c.state != standing {
 		c.mu.Unlock()
 		return
 	}
@@ -260,7 +289,7 @@
 		n := c.handler.OnData(c, b[taken:])
 		taken += n
 		c.mu.Lock()
-		stop := c.paused != 0 || c.closed || c.closing
+		stop := c.paused != 0 || c.state != standing
 		c.mu.Unlock()
 		if n == 0 || stop {
 			break
@@ -276,16 +305,14 @@
 // end is the peer's end of the connection.
 func (c *Conn) end(err error) {
 	c.mu.Lock()
-	if c.closed {
-		c.mu.Unlock()
-		return
-	}
-	if c.closing { // nobody waits for word of it
+	at := c.state
+	if at > standing { // nobody waits for word of it
 		c.close(false)
-		c.mu.Unlock()
-		return
 	}
 	c.mu.Unlock()
+	if at > standing {
+		return
+	}
 	c.handler.OnEnd(c, err)
 	c.Abort(err == ErrStalled)
 }
@@ -308,18 +335,18 @@
 // SendFrom is Send for bytes that came from another connection, which is left unread while too much waits here.
 func (c *Conn) SendFrom(source *Conn, parts ...[]byte) error {
 	c.mu.Lock()
-	if c.closed || c.closing {
+	if c.state > standing {
 		c.mu.Unlock()
 		return ErrClosed
 	}
-	if len(c.out) == c.taken && !c.dialing {
+	if len(c.out) == c.taken && c.state == standing {
 		parts = c.write(parts)
 	}
 	empty := len(c.out) == c.taken
 	for _, p := range parts {
 		c.out = append(c.out, p...)
 	}
-	if len(c.out) > c.taken && empty && !c.dialing {
+	if len(c.out) > c.taken && empty && c.state == standing {
 		c.rewatch()
 		c.armStall()
 	}
@@ -384,7 +411,7 @@
 // flush writes what waits.
 func (c *Conn) flush() {
 	c.mu.Lock()
-	if c.closed || c.dialing || len(c.out) == c.taken {
+	if c.state != standing && c.state != closing || len(c.out) == c.taken {
 		c.mu.Unlock()
 		return
 	}
@@ -400,8 +427,8 @@
 	case c.taken == len(c.out):
 		c.out, c.taken = nil, 0
 		c.stall.Stop()
-		if c.closing {
-			c.close(false)
+		if c.state == closing {
+			c.linger()
 		} else {
 			c.rewatch()
 		}
@@ -430,7 +457,7 @@
 // stalled ends a connection whose peer does not read: its bytes would be held back without bound.
 func (c *Conn) stalled() {
 	c.mu.Lock()
-	waits := !c.closed && len(c.out) > c.taken
+	waits := c.state < lingering && len(c.out) > c.taken
 	if waits {
 		// The kernel holds bytes too, and says that there is room for more only after many have gone.
 		if queued, err := unix.IoctlGetInt(c.fd, unix.SIOCOUTQ); err == nil && queued != c.queued {
@@ -476,7 +503,7 @@
 	defer c.mu.Unlock()
 	was := c.paused
 	c.paused |= why
-	if !c.closed && was == 0 && !c.dialing {
+	if c.state == standing && was == 0 {
 		c.rewatch()
 	}
 }
@@ -484,7 +511,7 @@
 func (c *Conn) resume(why uint8) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || c.paused&why == 0 {
+	if c.state > standing || c.paused&why == 0 {
 		return
 	}
 	if c.paused &^= why; c.paused == 0 {
@@ -496,7 +523,7 @@
 // readOn shows what was not taken, and has the connection watched again.
 func (c *Conn) readOn() {
 	c.mu.Lock()
-	stop := c.paused != 0 || c.closed || c.closing
+	stop := c.paused != 0 || c.state > standing
 	c.mu.Unlock()
 	if stop {
 		return
@@ -506,24 +533,60 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.closed && !c.dialing {
+	if c.state == standing {
 		c.rewatch()
 	}
 }
 
-// Close ends the connection in order once all that was sent has been written.
+// Close ends the connection in order: all that was sent is written, then this side ends. What the peer has sent and still
+// sends is read and thrown away for lingerFor or until it ends its side, as a descriptor that is closed over unread bytes
+// resets the connection, and takes with it what the peer has not read yet.
 func (c *Conn) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || c.closing {
+	switch {
+	case c.state == dialing:
+		c.close(false)
+	case c.state > standing:
+	case len(c.out) > c.taken:
+		c.state = closing
+		c.rewatch()
+	default:
+		c.linger()
+	}
+}
+
+// linger ends this side.
+func (c *Conn) linger() {
+	if !c.listed || unix.Shutdown(c.fd, unix.SHUT_WR) != nil {
+		c.close(false)
 		return
 	}
-	if len(c.out) > c.taken && !c.dialing {
-		c.closing = true
-		c.rewatch()
+	c.state, c.paused, c.hung = lingering, 0, false
+	if c.stall != nil {
+		c.stall.Stop()
+	}
+	c.resumeSources()
+	c.watch(unix.EPOLLIN | unix.EPOLLRDHUP)
+	c.deadline = time.AfterFunc(lingerFor, func() { c.Abort(false) })
+	c.loop.group.linger(c)
+}
+
+// drain throws away what comes to a connection that lingers.
+func (c *Conn) drain() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state != lingering {
 		return
 	}
-	c.close(false)
+	c.in = nil
+	n, err := rawRead(c.fd, c.loop.buf)
+	if err == unix.EAGAIN || err == unix.EINTR {
+		return
+	}
+	if c.drained += n; n <= 0 || c.drained > lingerBytes {
+		c.close(false)
+	}
 }
 
 // Abort ends the connection now; with reset its peer sees it break. When it returns nothing more goes out.
@@ -534,10 +597,10 @@
 }
 
 func (c *Conn) close(reset bool) {
-	if c.closed {
+	if c.state == closed {
 		return
 	}
-	c.closed = true
+	c.state = closed
 	if c.stall != nil {
 		c.stall.Stop()
 	}
@@ -545,7 +608,9 @@
 		c.deadline.Stop()
 	}
 	if c.listed {
+		c.listed = false
 		c.loop.remove(c.slot)
+		c.loop.group.release(c)
 	}
 	if c.fd >= 0 {
 		if reset {
@@ -554,8 +619,12 @@
 		unix.Close(c.fd)
 	}
 	c.out, c.taken = nil, 0
+	c.resumeSources()
+}
+
+// resumeSources has those read again that send here: they must find their peer gone, not wait for it.
+func (c *Conn) resumeSources() {
 	for _, s := range c.sources {
-		// It must find its peer gone, not wait for it.
 		c.loop.post(func() { s.resume(crowded) })
 	}
 	c.sources = nil
@@ -571,14 +640,21 @@
 func (c *Conn) Closed() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.closed || c.closing
+	return c.state > standing
+}
+
+// leaving reports whether Close was called and is not done.
+func (c *Conn) leaving() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state == closing || c.state == lingering
 }
 
 // Peer is the address at the other end.
 func (c *Conn) Peer() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed {
+	if c.state == closed {
 		return ""
 	}
 	sa, err := unix.Getpeername(c.fd)
--- a/internal/reactor/reactor.go
+++ b/internal/reactor/reactor.go
@@ -9,6 +9,7 @@
 package reactor
 
 import (
+	"container/list"
 	"errors"
 	"fmt"
 	"net"
@@ -53,6 +54,7 @@
 	readSize     = 64 << 10
 	acceptsMost  = 64 // at one event, so that a flood of connections does not hold up the rest
 	acceptPause  = 10 * time.Millisecond
+	settleEvery  = 2 * time.Millisecond
 )
 
 // Group is a set of loops that share the connections.
@@ -60,6 +62,11 @@
 	loops []*loop
 	next  atomic.Uint32
 	wg    sync.WaitGroup
+
+	mu        sync.Mutex
+	held      int       // connections with a descriptor
+	budget    int       // of these, over which none lingers; 0: no bound
+	lingering list.List // of *Conn: the ones that linger, the longest first
 }
 
 type loop struct {
@@ -129,14 +136,8 @@
 	for _, l := range g.loops {
 		l.mu.Lock()
 		l.ended = true
-		var conns []source
-		for _, e := range l.slots {
-			if e.source != nil && e.source != source(l) {
-				conns = append(conns, e.source)
-			}
-		}
 		l.mu.Unlock()
-		for _, s := range conns {
+		for _, s := range l.sources() {
 			switch s := s.(type) {
 			case *Conn:
 				s.Abort(false)
@@ -153,6 +154,81 @@
 	}
 }
 
+// SetBudget sets how many descriptors connections may hold before those that linger are closed for new ones.
+func (g *Group) SetBudget(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.budget = n
+}
+
+// hold counts n more descriptors, and closes what has lingered for longest where there are too many.
+func (g *Group) hold(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.held += n
+	for over := g.held - g.budget; g.budget > 0 && over > 0; over-- {
+		c, ok := g.popLingering()
+		if !ok {
+			return
+		}
+		c.loop.post(func() { c.Abort(false) }) // whoever is held for now may be its caller
+	}
+}
+
+func (g *Group) popLingering() (*Conn, bool) {
+	e := g.lingering.Front()
+	if e == nil {
+		return nil, false
+	}
+	return g.lingering.Remove(e).(*Conn), true
+}
+
+// linger notes a connection that lingers.
+func (g *Group) linger(c *Conn) {
+	g.mu.Lock()
+	c.place = g.lingering.PushBack(c)
+	g.mu.Unlock()
+	g.hold(0)
+}
+
+// release forgets a connection whose descriptor is closed.
+func (g *Group) release(c *Conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.held--
+	if c.place != nil {
+		g.lingering.Remove(c.place) // nothing where it was taken out before
+	}
+}
+
+// Settle waits until what was asked of the loops is done, and until no connection lingers or still has bytes to write
+// before it closes; so long at the most.
+func (g *Group) Settle(within time.Duration) {
+	end := time.Now().Add(within)
+	for time.Now().Before(end) && !g.settled() {
+		time.Sleep(settleEvery)
+	}
+}
+
+// settled looks behind all that was posted before.
+func (g *Group) settled() bool {
+	for _, l := range g.loops {
+		done := make(chan bool, 1)
+		l.post(func() { done <- true })
+		select {
+		case <-done:
+		case <-time.After(lingerFor): // a handler holds it up
+			return false
+		}
+		for _, s := range l.sources() {
+			if c, ok := s.(*Conn); ok && c.leaving() {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 func (g *Group) pick() *loop { return g.loops[int(g.next.Add(1))%len(g.loops)] }
 
 // run waits for events and handles them until the group is closed.
@@ -239,6 +315,18 @@
 	l.free = append(l.free, slot)
 }
 
+// sources are what the loop waits for besides calls.
+func (l *loop) sources() (all []source) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, e := range l.slots {
+		if e.source != nil && e.source != source(l) {
+			all = append(all, e.source)
+		}
+	}
+	return all
+}
+
 // post has the loop call f soon.
 func (l *loop) post(f func()) {
 	l.mu.Lock()
@@ -354,7 +442,7 @@
 		}
 		unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
 		lp := l.group.pick()
-		c := &Conn{loop: lp, fd: fd, handler: l.accept(), want: unix.EPOLLIN | unix.EPOLLRDHUP}
+		c := &Conn{loop: lp, fd: fd, handler: l.accept(), state: standing, want: unix.EPOLLIN | unix.EPOLLRDHUP}
 		if lp == l.loop {
 			c.begin()
 		} else {
