Know every change of the list within 6 s, whatever became of the calls, and take no stale list

Seen in listclock: a call waited 10 s and had 1 s more, after a failure the next came up to 10 s later at 300 gateways (backOff's spread), and a whole list older than the one held was gone by (discovery.take).

Change: calls wait 3.5 s and have 0.75 s more; after a failure the next call comes within 2.25 s; what a call missed counts from the last list that came; a list that is older than the one held is asked for again, whole or not, before it is gone by.

Discovery's price for shorter waits is still to be measured.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -148,8 +148,10 @@
 	if m.Full || len(m.Servers) > 0 {
 		w.logger.Info("list", "version", m.Version, "full", m.Full, "servers", len(m.Servers))
 	}
-	if held, ok := w.clock.Version(); m.Full || ok && m.Version >= held {
+	if w.clock.Takes(m.Version, m.Full) {
 		w.post(m.List(mode))
+	} else {
+		w.logger.Warn("list not taken: it is older than the one held, or changes to another", "addr", w.asked, "version", m.Version)
 	}
 	return w.clock.Handle(w.now(), listclock.Answered{Version: m.Version, Whole: m.Full})
 }
--- a/internal/listclock/listclock.go
+++ b/internal/listclock/listclock.go
@@ -7,32 +7,30 @@
 
 // The platform's figures, which its protocol states and no setting holds.
 const (
-	// ToldAfterSilence and ToldAfterWait bound what a gateway may not know: what a silent call should have brought counts as
-	// told so long after the silence began, or so long after the call's wait is over, whichever is later.
-	ToldAfterSilence = 6 * time.Second
-	ToldAfterWait    = 2 * time.Second
-	failedStandsFor  = 4                      // times AskWithin, where discovery is asked and the call failed
-	continues        = 200 * time.Millisecond // a watch goes on where the next call comes within this
+	// ToldAfter bounds what a gateway may not know: a change counts as told so long after discovery had it and could be
+	// reached, whatever became of the call that should have brought it.
+	ToldAfter       = 6 * time.Second
+	failedStandsFor = 4                      // times AskWithin, where discovery is asked and the call failed
+	continues       = 200 * time.Millisecond // a watch goes on where the next call comes within this
 )
 
 // Our own.
 const (
-	// askWait is how long a call waits where discovery is asked. Its length costs nothing: what is left to notice a silence is
-	// ToldAfterWait whatever it is, and short waits are more calls for a service that all gateways share.
-	askWait = 10 * time.Second
-	// pushWait is the same at an agent. It is short enough that a silence is noticed, and a call begun anew, well within
-	// ToldAfterSilence.
+	// askWait is how long a call waits where discovery is asked, and askLate how long after it an answer may come. Short
+	// waits are more calls for a service that all gateways share; both together leave time for two more calls before what a
+	// silent one should have brought counts as told.
+	askWait = ToldAfter * 7 / 12
+	askLate = ToldAfter / 8
+	// pushWait is the same at an agent, which is asked at no price.
 	pushWait = 2 * time.Second
-	// askLate is how long after its wait an answer may come where discovery is asked: half of the time until its news count,
-	// so that as much is left to call again.
-	askLate = ToldAfterWait / 2
 	// apartEach spreads the calls of gateways whose watches fell silent together, by this for each of them, within apartMost.
 	apartEach = time.Millisecond
-	apartMost = ToldAfterWait / 8
+	apartMost = ToldAfter / 24
 
 	failFirst = 500 * time.Millisecond // wait after a call that failed, doubled up to
-	failMost  = 5 * time.Second        // this,
-	failEach  = 150 * time.Millisecond // and spread over this for each gateway, as they fail together
+	failMost  = ToldAfter / 4          // this,
+	failEach  = 150 * time.Millisecond // and spread over this for each gateway, as they fail together,
+	apartFail = ToldAfter / 4          // within this: two calls fit in before what was missed counts as told
 
 	graceDefault = 250 * time.Millisecond // where the settings state no grace for drains
 	tooSoon      = 4                      // what is not newer came in under this part of the wait: calls keep a distance then
@@ -94,7 +92,8 @@
 	began   time.Duration // when it was due to be made
 	silent  int           // calls in a row that fell silent
 	failing time.Duration // the next wait after a failure; 0: the last call did not fail
-	told    time.Duration // of the first of these calls; 0: none
+	heard   time.Duration // when a list last came, or the start: what was listed until then is known
+	told    time.Duration // when what was missed since counts as told; 0: nothing is known to be missed
 }
 
 // New returns a Clock.
@@ -106,6 +105,16 @@
 	return &Clock{set: set, random: set.Seed}
 }
 
+// Takes reports whether a list, or changes to one, are to be gone by. What is older than the list that is held, or changes
+// one that is not, is not: whoever answered is late, went back, or is another. The whole list is asked for then, and taken
+// whatever its version.
+func (c *Clock) Takes(version int64, whole bool) bool {
+	if !c.have {
+		return whole
+	}
+	return version >= c.version
+}
+
 // Version is the version of the list that is held; ok is false where none is.
 func (c *Clock) Version() (v int64, ok bool) { return c.version, c.have }
 
@@ -114,7 +123,7 @@
 	switch ev := ev.(type) {
 	case Start:
 		c.have, c.version = ev.Have, ev.Version
-		c.silent, c.failing, c.told = 0, 0, 0
+		c.silent, c.failing, c.heard, c.told = 0, 0, now, 0
 		// An agent answers at once, so that what it holds is known before the first wait. Discovery is shared: a call that
 		// waits brings what is new just as soon.
 		return c.next(now, 0, c.set.Pushed)
@@ -127,14 +136,13 @@
 }
 
 func (c *Clock) answered(now time.Duration, ev Answered) Call {
-	if !ev.Whole && (!c.have || ev.Version < c.version) {
-		// Changes to a list that is not held: whoever answered went back, or is another.
+	if !c.Takes(ev.Version, ev.Whole) {
 		c.have = false
 		return c.next(now, c.distance(), true)
 	}
 	newer := !c.have || ev.Version > c.version
 	c.have, c.version = true, ev.Version
-	c.silent, c.failing, c.told = 0, 0, 0
+	c.silent, c.failing, c.heard, c.told = 0, 0, now, 0
 	pause := time.Duration(0)
 	if !newer && c.call.Wait > 0 && now-c.began < c.call.Wait/tooSoon {
 		pause = c.distance()
@@ -149,7 +157,7 @@
 // time until then, at a pace that keeps within the grace for drains; discovery is asked once, apart from others whose
 // watches fell silent with this one, and then as after any failure.
 func (c *Clock) fellSilent(now time.Duration) Call {
-	c.owe(c.began + max(ToldAfterSilence, c.call.Wait+ToldAfterWait))
+	c.told = c.heard + ToldAfter
 	c.silent++
 	switch {
 	case c.set.Pushed:
@@ -165,26 +173,20 @@
 	if c.set.Pushed {
 		return c.next(now, c.set.DrainGrace/10, true)
 	}
+	c.told = c.heard + ToldAfter
 	if c.set.AskWithin > 0 {
-		c.owe(c.began + failedStandsFor*c.set.AskWithin)
+		c.told = min(c.told, c.heard+failedStandsFor*c.set.AskWithin)
 	}
 	return c.backOff(now)
 }
 
-// owe notes when the first call of a run of failures has its news count as told.
-func (c *Clock) owe(at time.Duration) {
-	if c.told == 0 || at < c.told {
-		c.told = at
-	}
-}
-
-// backOff waits, longer with each failure and jittered: gateways that lost the list together do not ask for it together. A
-// failed call stands for four times AskWithin; the wait keeps well within that.
+// backOff waits, longer with each failure and jittered: gateways that lost the list together do not ask for it together.
+// However many calls have failed, the next comes soon enough that what discovery holds on its return is known in time.
 func (c *Clock) backOff(now time.Duration) Call {
 	if c.failing == 0 {
 		c.failing = failFirst
 	}
-	spread := max(c.failing, time.Duration(c.set.Gateways)*failEach)
+	spread := min(max(c.failing, time.Duration(c.set.Gateways)*failEach), apartFail)
 	if c.set.AskWithin > 0 {
 		spread = min(spread, c.set.AskWithin)
 	}
