Bound the time in which an attempt's connection may come up, by drains and windows

So a connection that comes up late went to a server that had begun to drain longer ago than the grace, as did a stray sent within it, and repeats were written behind their window.

Change: rules.Send.Begin, from the drain grace, the time since a stray's server drains and the window that is left; the backend's dial ends then, and a line is not written later where the loop was held up.

--- a/internal/engine/act.go
+++ b/internal/engine/act.go
@@ -88,10 +88,10 @@
 	if a.Timeout != 0 {
 		wait = min(wait, a.Timeout)
 	}
-	e.send(r, a.Server, wait)
+	e.send(r, a.Server, wait, a.Begin)
 }
 
-func (e *Engine) send(r *request, to rules.ServerID, wait time.Duration) {
+func (e *Engine) send(r *request, to rules.ServerID, wait, begin time.Duration) {
 	s := e.servers[to]
 	r.attempts++
 	r.server, r.sent = to, e.now
@@ -104,5 +104,5 @@
 		return
 	}
 	r.timeout = e.deadlines.Add(e.now+wait, due{kind: dueAttempt, id: r.id})
-	r.link = e.backend.Send(Attempt{Request: r.id, Number: r.attempts - 1, Server: to, Addr: s.addr, Client: r.client, Wait: wait})
+	r.link = e.backend.Send(Attempt{Request: r.id, Number: r.attempts - 1, Server: to, Addr: s.addr, Client: r.client, Wait: wait, Begin: begin})
 }
--- a/internal/engine/api.go
+++ b/internal/engine/api.go
@@ -37,6 +37,7 @@
 	Addr    string
 	Client  Client
 	Wait    time.Duration // that the attempt is given
+	Begin   time.Duration // a connection that comes up later carries nothing, and the attempt never ran; 0: no such bound
 }
 
 // Link is an attempt that has been started.
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -209,7 +209,7 @@
 		return
 	}
 	e.tell(rules.Carried{Request: req, Server: id})
-	e.send(r, id, r.deadline-e.now)
+	e.send(r, id, r.deadline-e.now, 0)
 }
 
 // fail gives a final answer that promises nothing.
--- a/internal/line/backend/backend.go
+++ b/internal/line/backend/backend.go
@@ -63,10 +63,12 @@
 // Send implements engine.Backend. It does not wait.
 func (b *Backend) Send(a engine.Attempt) engine.Link {
 	l := &Link{backend: b, attempt: a, client: a.Client.(Client)}
-	wait := a.Wait
-	if t := b.options.ConnectTimeout; t > 0 {
-		wait = min(wait, t)
+	within := a.Wait
+	for _, t := range []time.Duration{b.options.ConnectTimeout, a.Begin} {
+		if t > 0 {
+			within = min(within, t)
+		}
 	}
-	l.Begin(func() *reactor.Conn { return b.conns.Dial(a.Addr, wait, l, l.client.Conn()) })
+	l.Begin(func() *reactor.Conn { return b.conns.Dial(a.Addr, within, l, l.client.Conn()) })
 	return l
 }
--- a/internal/line/backend/link.go
+++ b/internal/line/backend/link.go
@@ -28,7 +28,8 @@
 
 // OnOpen implements reactor.Handler: it sends the opening line, or says that there is no connection.
 func (l *Link) OnOpen(c *reactor.Conn, err error) {
-	if err != nil {
+	late := l.attempt.Begin > 0 && l.Age() > l.attempt.Begin // the loop may have been held up, and the dial's time with it
+	if err != nil || late {
 		l.finish(rules.ConnectFailed)
 		return
 	}
--- a/rules/api.go
+++ b/rules/api.go
@@ -225,11 +225,12 @@
 type Action interface{ action() }
 
 type (
-	// Send starts the request's next attempt. Timeout 0 means until the client gives up.
+	// Send starts the request's next attempt. Timeout 0 means until the client gives up. A connection that
+	// comes up later than Begin carries nothing: by then the server may drain, or the time to repeat be over.
 	Send struct {
-		ID      RequestID
-		Server  ServerID
-		Timeout time.Duration
+		ID             RequestID
+		Server         ServerID
+		Timeout, Begin time.Duration // Begin 0: at any time
 	}
 
 	// Refuse is a final answer: not done, and a retry is harmless.
--- /dev/null
+++ b/rules/begin_test.go
@@ -0,0 +1,39 @@
+package rules
+
+import "testing"
+
+// A connection that comes up late carries nothing: not behind the grace of a server that may begin to drain
+// meanwhile, or that drains and takes a stray, nor behind the window in which repeats are known.
+func TestLateConnectionsHaveABound(t *testing.T) {
+	set := settings()
+	set.Classes[1].Window, set.Classes[1].Scope = 400*ms, ScopeAll
+	w := newWorld(t, set, 4)
+	w.request("safe", "")
+	if s := w.sent(); s.Begin <= 0 || s.Begin >= set.DrainGrace {
+		t.Errorf("to a server in service: %+v", s)
+	}
+
+	id, first := w.request("keyed", ""), w.sent()
+	w.now += 150 * ms
+	w.feed(Outcome{ID: id, Server: first.Server, Result: Reset})
+	if s := w.sent(); s.Begin != 250*ms {
+		t.Errorf("a repeat 150 ms into a window of 400 ms: %+v", s)
+	}
+
+	// A repeat of what never ran has no window.
+	id, first = w.request("keyed", ""), w.sent()
+	w.now += 150 * ms
+	w.feed(Outcome{ID: id, Server: first.Server, Result: Full})
+	if s := w.sent(); s.Begin <= 250*ms {
+		t.Errorf("a repeat of what never ran: %+v", s)
+	}
+
+	w.b.refresh()
+	holder := w.b.members[0]
+	w.feed(List{Mode: Changes, Servers: []Server{{ID: holder.ID, State: Draining}}})
+	w.now += 300 * ms
+	w.feed(Request{ID: 900, Class: "safe", Stray: true, Held: true, Holder: holder.ID, Deadline: sec})
+	if s := w.sent(); s.Server != holder.ID || s.Begin <= 0 || s.Begin >= 200*ms {
+		t.Errorf("a stray to a server that has drained for 300 of 500 ms: %+v", s)
+	}
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -310,7 +310,21 @@
 	r.attempts++
 	r.sent = b.now
 	r.tried = append(r.tried, s.ID)
-	b.act(Send{ID: r.ID, Server: s.ID, Timeout: b.timeout(r)})
+	b.act(Send{ID: r.ID, Server: s.ID, Timeout: b.timeout(r), Begin: b.begin(r, s)})
+}
+
+// begin bounds the time until an attempt is under way. It guards against connections that come up late: to a
+// server that drains by then, or drains now and takes strays, or behind the window of a keyed request.
+func (b *Balancer) begin(r *request, s *server) time.Duration {
+	most := b.set.DrainGrace * drainPart / 10
+	if s.State != Ready {
+		most -= b.now - s.told
+	}
+	c := b.set.Classes[r.class]
+	if left := r.ranAt + c.Window - b.now; r.mayHaveRun && c.Effect == Keyed && (most == 0 || left < most) {
+		most = left
+	}
+	return most
 }
 
 // isShed reports whether the fleet sheds a request. Which clients of the rank at the cut those are is alike
