--- /dev/null
+++ b/gateway/crossing_stop_test.go
@@ -0,0 +1,190 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// endsBy is when the platform ends a program at the earliest after SIGTERM.
+const endsBy = longest + 700*time.Millisecond
+
+var modes = []string{"pass", "proxy"}
+
+// Where connections end at the gateway, SIGTERM in any state of a client ends in an answer, or in MOVE between two lines,
+// and in an orderly end; the program ends before the platform would end it.
+func TestStopCrossesClientsWhereConnectionsEndHere(t *testing.T) {
+	for name, play := range map[string]func(t *testing.T, p *program) (after func()){
+		"resting": func(t *testing.T, p *program) func() {
+			client := p.dial()
+			return func() { client.answered("BUSY") }
+		},
+		"a line half read": func(t *testing.T, p *program) func() {
+			client := p.dial()
+			client.send("OPEN 77 0a c=c,")
+			return func() {
+				client.send("d=60000\r\n")
+				server := p.server.accept()
+				server.line()
+				server.send("UP r\r\n")
+				client.expect("UP r\r\n")
+				client.answered("MOVE")
+				server.ends()
+			}
+		},
+		"a line never finished": func(t *testing.T, p *program) func() {
+			client := p.dial()
+			client.send("OPEN 77 0a c=c,")
+			return func() { client.answered("BUSY") }
+		},
+		"an attempt without an answer": func(t *testing.T, p *program) func() {
+			client, server := p.ask()
+			return func() {
+				client.answered("BUSY")
+				server.ends()
+			}
+		},
+		"an attempt answered later": func(t *testing.T, p *program) func() {
+			client, server := p.ask()
+			return func() {
+				server.send("UP r\r\n")
+				client.expect("UP r\r\n")
+				client.answered("MOVE")
+				server.ends()
+			}
+		},
+		"an answer half passed on": func(t *testing.T, p *program) func() {
+			client, server := p.open()
+			server.send("M 1 ha")
+			got := make([]byte, 6)
+			if _, err := io.ReadFull(client.r, got); err != nil {
+				t.Fatal(err)
+			}
+			return func() {
+				server.send("lf\r\n")
+				client.expect("lf\r\n")
+				client.answered("MOVE")
+			}
+		},
+		"unread lines of the client's": func(t *testing.T, p *program) func() {
+			client, server := p.open()
+			server.send("M 1 half")
+			if _, err := io.ReadFull(client.r, make([]byte, 8)); err != nil {
+				t.Fatal(err)
+			}
+			return func() {
+				client.send("M 1\r\nM 2\r\n")
+				server.send("\r\n")
+				client.expect("\r\n")
+				client.answered("MOVE")
+			}
+		},
+		"a client that returns at once": func(t *testing.T, p *program) func() {
+			client, _ := p.open()
+			return func() {
+				client.answered("MOVE")
+				for range 5 { // in the time in which the platform still sends some here
+					again := p.dial()
+					again.send(strings.Replace(p.line(), "\r\n", ",again=1\r\n", 1))
+					server := p.server.accept()
+					server.line()
+					server.send("UP r\r\n")
+					again.expect("UP r\r\n")
+					defer again.answered("MOVE")
+				}
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := startProgram(t, conf{mode: "proxy"})
+			after := play(t, p)
+			p.stop()
+			begun := time.Now()
+			after()
+			p.ends(endsBy - time.Since(begun))
+		})
+	}
+}
+
+// Where packets pass through, what waits at a stop is answered in time all the same, and who rests too.
+func TestStopCrossesClientsWherePacketsPass(t *testing.T) {
+	p := startProgram(t, conf{mode: "pass"})
+	open, _ := p.open()
+	hung, server := p.ask()
+	half := p.dial()
+	half.send("OPEN 77 0a c=c,")
+	p.stop()
+	begun := time.Now()
+	half.send("d=60000\r\n")
+	second := p.server.accept()
+	second.line()
+	second.send("UP r\r\n")
+	half.expect("UP r\r\n")
+	hung.answered("BUSY")
+	if d := time.Since(begun); d > endsBy {
+		t.Errorf("answered %v after the stop", d)
+	}
+	server.ends()
+	open.c.Close()
+	half.c.Close()
+	p.ends(patience)
+}
+
+// A request that waits for a connection that does not come up, or for a list, is answered at a stop; as is each in the
+// kernel's queue, when the signal comes first.
+func TestStopCrossesWhatIsNotUnderWay(t *testing.T) {
+	for _, mode := range modes {
+		t.Run(mode+", connecting", func(t *testing.T) {
+			p := startProgram(t, conf{mode: mode, addrs: []string{crowdedAddr(t)}})
+			client := p.dial()
+			client.send(p.line())
+			p.stop()
+			client.answered("BUSY")
+			p.ends(patience)
+		})
+		t.Run(mode+", no list", func(t *testing.T) {
+			p := startProgram(t, conf{mode: mode, deaf: true})
+			client := p.dial()
+			client.send(p.line())
+			p.stop()
+			client.answered("BUSY")
+			p.ends(patience)
+		})
+		t.Run(mode+", not accepted yet", func(t *testing.T) {
+			p := startProgram(t, conf{mode: mode, deaf: true})
+			p.signal(syscall.SIGSTOP)
+			var clients []*end
+			for range 40 { // more than are accepted before the engine has seen some
+				client := p.dial()
+				client.send(p.line())
+				clients = append(clients, client)
+			}
+			p.signal(syscall.SIGTERM)
+			p.signal(syscall.SIGCONT)
+			for _, client := range clients {
+				client.answered("BUSY")
+			}
+			p.ends(patience)
+		})
+	}
+}
+
+// SIGHUP to another address and SIGTERM right behind it are both acted on, with discovery away too.
+func TestStopRightAfterAReload(t *testing.T) {
+	for _, deaf := range []bool{false, true} {
+		t.Run(fmt.Sprint("deaf ", deaf), func(t *testing.T) {
+			p := startProgram(t, conf{mode: "proxy", deaf: deaf})
+			other := newService(t, "")
+			p.configure(other.addr)
+			p.signal(syscall.SIGHUP)
+			p.signal(syscall.SIGTERM)
+			p.log("msg=stopping")
+			rests := p.dial()
+			rests.answered("BUSY")
+			p.ends(patience)
+		})
+	}
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -25,6 +25,7 @@
 	moveWithin = time.Second            // a client is told MOVE, or else cut off
 	tickEvery  = 250 * time.Millisecond // between looks at open connections
 	delayTold  = time.Second            // between words of slow messages at one server
+	leastSlack = 5 * time.Millisecond   // the rules have their chance to answer before the guard does
 	quietFor   = time.Second            // after Stop, clients may come this long though none is left
 	sampleFor  = 2500 * time.Millisecond
 	statsEvery = 10 * time.Second
@@ -94,6 +95,7 @@
 	if opts.Figures == nil {
 		opts.Figures = metrics.New(opts.Classes)
 	}
+	opts.AnswerSlack = max(opts.AnswerSlack, leastSlack)
 	classes := make(map[string]bool, len(opts.Classes))
 	for _, c := range opts.Classes {
 		classes[c] = true
