Keep descriptors for the rest under a flood of idle clients, be ready in time without a list

Without a list a start was never ready: PING had ERR for as long as discovery was away (engine.go, Ready).

Change: at most 16 accepted and unseen, a budget for what lingers, ready after 8 s without a list; calls that do not wait have 2.25 s, waits are 3 s long.

--- a/config/config.go
+++ b/config/config.go
@@ -49,9 +49,9 @@
 	drainPass = 15 * time.Second
 )
 
-// OnTheirWay is how many of the program's own descriptors connections may have that are accepted and not counted yet, or
-// closed and linger.
-const OnTheirWay = 32
+// OnTheirWay is how many of the program's own descriptors connections may have that are closed and linger. As many again
+// may be accepted and not counted yet.
+const OnTheirWay = 16
 
 // Limits are what the program may use.
 type Limits struct {
--- /dev/null
+++ b/gateway/descriptors_test.go
@@ -0,0 +1,98 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+)
+
+// descriptors is how many the program holds.
+func (p *program) descriptors() int {
+	p.t.Helper()
+	all, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	return len(all)
+}
+
+// Idle clients by the hundred, many more than there are descriptors, while discovery tells nobody: the program keeps its
+// limit, who is closed is told BUSY, and once discovery is back it is asked, servers are reached and clients served.
+func TestIdleClientsLeaveDescriptorsForTheRest(t *testing.T) {
+	const sockets, clients = 128, 400
+	p := startProgram(t, conf{mode: "pass", deaf: true, sockets: sockets})
+	most := 0
+	var idle []*end
+	for i := range clients {
+		idle = append(idle, p.dial())
+		if i%7 == 0 { // some do ask
+			idle[i].send(p.line())
+		}
+		most = max(most, p.descriptors())
+	}
+	for i, e := range idle {
+		if i%7 == 0 {
+			e.answered("BUSY")
+		}
+	}
+	p.service.set(listOf(1, p.conf.addrs...))
+	(&host{t: t, addr: p.addr}).ready()
+	for range 10 {
+		client, server := p.open()
+		client.send("M 1\r\n")
+		server.expect("M 1\r\n")
+		most = max(most, p.descriptors())
+	}
+	if most > sockets {
+		t.Errorf("%d descriptors, %d are allowed", most, sockets)
+	}
+	for i, e := range idle {
+		if i%7 != 0 {
+			e.answered("BUSY")
+		}
+	}
+}
+
+// A flood of clients that come and go at once, some with much that nobody asked for, leaves nothing behind.
+func TestAFloodLeavesNothingBehind(t *testing.T) {
+	p := startProgram(t, conf{mode: "pass", sockets: 128})
+	before := p.descriptors()
+	junk := make([]byte, 64<<10)
+	for i := range 600 {
+		c, err := net.Dial("tcp", p.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		switch i % 4 {
+		case 0:
+			c.Write(junk)
+		case 1:
+			c.Write([]byte(p.line()))
+			c.(*net.TCPConn).SetLinger(0)
+		case 2:
+			c.Write([]byte("OPEN 1 "))
+		}
+		c.Close()
+	}
+	client, line := p.dial(), p.line()
+	client.send(line)
+	server := p.server.accept()
+	for { // attempts for clients that left at once may have come up before
+		if got, _ := server.r.ReadString('\n'); strings.HasPrefix(got, line[:10]) {
+			break
+		}
+		server = p.server.accept()
+	}
+	server.send("UP r\r\n")
+	client.expect("UP r\r\n")
+	client.c.Close()
+	server.ends()
+	for end := time.Now().Add(patience); p.descriptors() > before+2; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d descriptors are left of %d", p.descriptors(), before)
+		}
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -106,7 +106,7 @@
 	g.engine = drive.New(engine.New(engine.Options{
 		Ranks: ranks, Tiers: g.tiers,
 		Sockets: c.Limits.ForClients(), Openings: c.Limits.Idle(), Classes: classes, RetryAfter: c.Rules.MaxRetryAfter, DefaultWait: c.Node.LongestWait, AnswerSlack: c.Node.AnswerSlack,
-		Pass: c.Node.Pass, Park: c.Rules.Park, TellsDelay: c.Node.TellsDelay, MessageAim: c.Node.MessageAim, Probes: c.Node.Probes, AnswerBy: c.AnswerBy, Drain: c.Drain,
+		Pass: c.Node.Pass, Park: c.Rules.Park, TellsDelay: c.Node.TellsDelay, MessageAim: c.Node.MessageAim, Probes: c.Node.Probes, ReadyWithin: readyWithin, AnswerBy: c.AnswerBy, Drain: c.Drain,
 		Figures: g.figures, Logger: g.logger, Trace: g.logger.Enabled(context.Background(), slog.LevelDebug),
 	}, balancer, g, attempts))
 	g.lines = attempts
@@ -119,6 +119,10 @@
 	return g, nil
 }
 
+// readyWithin is the time that a start has for a list. The platform wants nine in ten processes ready within 10 s, whatever
+// discovery does.
+const readyWithin = 8 * time.Second
+
 // settleFor is how long the end waits for clients to read what was last sent. The platform ends the program 0.2 s after
 // the engine's end at the earliest.
 const settleFor = 100 * time.Millisecond
--- a/internal/engine/api.go
+++ b/internal/engine/api.go
@@ -175,6 +175,7 @@
 	TellsDelay  bool                           // the rules want word of slow messages
 	MessageAim  time.Duration                  // the shortest wanted time of a message; 0: none stated
 	Probes      bool                           // servers may be asked for their load
+	ReadyWithin time.Duration                  // from the start until it is ready without a list; 0: never
 	AnswerBy    time.Duration                  // from Stop until all that waits is answered; 0: Drain
 	Drain       time.Duration                  // from Stop to the end
 	Figures     *metrics.Set                   // what is reported; nil: nobody reads it
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -41,6 +41,7 @@
 	dueMove
 	dueTick
 	dueStats
+	dueReady
 	dueClosing
 	dueEnd
 )
@@ -70,6 +71,7 @@
 	names     map[string]rules.ServerID
 	banned    map[string]bool    // names of servers that are out by hand, listed or not
 	unnamed   metrics.Class      // for what the settings do not name; nobody reads it
+	listed    bool               // a list has come
 	version   int64              // of the list
 	heirs     map[string]slot.ID // connections of the process before, by their clients' names for them
 	came      map[string]bool    // of these, those whose packets have come here
@@ -108,7 +110,8 @@
 	}
 }
 
-// Ready reports whether a list of servers has come, so that requests can be served.
+// Ready reports whether requests are taken: a list of servers has come, or none in the time that the start has for it. Who
+// has no list then refuses, with word of when to come again; a gateway that never says that it is ready is taken for dead.
 func (e *Engine) Ready() bool { return e.ready.Load() }
 
 // Ended reports whether the end that Stop began is over.
@@ -119,6 +122,9 @@
 	e.now = now
 	e.deadlines.Add(now+tickEvery, due{kind: dueTick})
 	e.deadlines.Add(now+statsEvery, due{kind: dueStats})
+	if within := e.opts.ReadyWithin; within > 0 {
+		e.deadlines.Add(now+within, due{kind: dueReady})
+	}
 }
 
 // Handle takes one event.
@@ -231,6 +237,11 @@
 			e.deadlines.Add(e.now+statsEvery, due{kind: dueStats})
 			e.logStats()
 			e.toldNoList = false
+		case dueReady:
+			if !e.listed {
+				e.opts.Logger.Warn("ready without a list: none came, requests are refused until one does", "after", e.opts.ReadyWithin)
+				e.ready.Store(true)
+			}
 		case dueClosing:
 			e.onClosing()
 		case dueEnd:
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -137,7 +137,7 @@
 		return
 	}
 	e.counts.taken++
-	if !e.ready.Load() && !e.toldNoList {
+	if !e.listed && !e.toldNoList {
 		e.toldNoList = true
 		e.opts.Logger.Warn("no list of servers has come, requests wait or are refused")
 	}
--- a/internal/engine/server.go
+++ b/internal/engine/server.go
@@ -90,6 +90,7 @@
 	e.tellMovers(drained)
 	e.countServers()
 	if ev.Mode == rules.Complete || len(e.servers) > 0 {
+		e.listed = true
 		e.ready.Store(true)
 	}
 }
--- a/internal/engine/stop_test.go
+++ b/internal/engine/stop_test.go
@@ -138,3 +138,22 @@
 		t.Error("the next tenant does not stand as it should")
 	}
 }
+
+// Without a list a gateway is ready all the same in time, and with one at once; refusals say when to come again.
+func TestReadyWithoutAList(t *testing.T) {
+	w := newWorld(t, 0, func(o *Options) { o.ReadyWithin = 8 * time.Second })
+	w.pass(8*time.Second - time.Millisecond)
+	if w.e.Ready() {
+		t.Error("ready too soon")
+	}
+	w.pass(time.Millisecond)
+	if !w.e.Ready() {
+		t.Error("not ready in time")
+	}
+	w.arrive(w.client("x"), Request{Key: "k"})
+	w.pass(time.Second)
+	w.expect("refuse x")
+	if w := newWorld(t, 1, func(o *Options) { o.ReadyWithin = 8 * time.Second }); !w.e.Ready() {
+		t.Error("not ready with the list as last held")
+	}
+}
--- a/internal/line/front/conn.go
+++ b/internal/line/front/conn.go
@@ -23,6 +23,7 @@
 // Conn is a client's connection.
 type Conn struct {
 	front  *Front
+	done   func() // tells the listener that the engine has seen it
 	conn   *reactor.Conn
 	ticket engine.Ticket
 	open   codec.Open
@@ -41,7 +42,7 @@
 // OnOpen implements reactor.Handler.
 func (c *Conn) OnOpen(rc *reactor.Conn, _ error) {
 	c.conn = rc
-	c.front.engine.Post(engine.Accepted{Client: c, Done: c.front.listener.Done})
+	c.front.engine.Post(engine.Accepted{Client: c, Done: c.done})
 }
 
 // Slot implements engine.Client.
--- a/internal/line/front/front.go
+++ b/internal/line/front/front.go
@@ -41,7 +41,7 @@
 	return f, err
 }
 
-func (f *Front) accept() reactor.Handler { return &Conn{front: f} }
+func (f *Front) accept(done func()) reactor.Handler { return &Conn{front: f, done: done} }
 
 // Addr is the address that is listened on.
 func (f *Front) Addr() string { return f.listener.Addr() }
--- a/internal/listclock/listclock.go
+++ b/internal/listclock/listclock.go
@@ -17,10 +17,12 @@
 // Our own.
 const (
 	// askWait is how long a call waits where discovery is asked, and askLate how long after it an answer may come. Short
-	// waits are more calls for a service that all gateways share; both together leave time for two more calls before what a
-	// silent one should have brought counts as told.
-	askWait = ToldAfter * 7 / 12
+	// waits are more calls for a service that all gateways share; both together leave time for one more call before what a
+	// silent one should have brought counts as told. That call does not wait and may take askBusy: a service with many
+	// callers has them stand in line, and who gives up early only stands in line again, behind the others.
+	askWait = ToldAfter / 2
 	askLate = ToldAfter / 8
+	askBusy = ToldAfter * 3 / 8
 	// pushWait is the same at an agent, which is asked at no price.
 	pushWait = 2 * time.Second
 	// apartEach spreads the calls of gateways whose watches fell silent together, by this for each of them, within apartMost.
@@ -205,8 +207,11 @@
 	if c.set.Pushed {
 		wait, late = pushWait, c.set.DrainGrace/2
 	}
-	if !call.Whole && !atOnce {
+	switch {
+	case !call.Whole && !atOnce:
 		call.Wait = wait
+	case !c.set.Pushed:
+		late = askBusy
 	}
 	call.Within = call.Wait + late
 	c.call, c.began = call, now+pause
--- a/internal/nats/front/front.go
+++ b/internal/nats/front/front.go
@@ -50,7 +50,7 @@
 	f.current.Store(&n)
 	f.payload.Store(int64(n.MaxPayload))
 	var err error
-	if f.listener, err = g.Listen(n.Listen, 0, func() reactor.Handler { return &Session{front: f} }); err != nil {
+	if f.listener, err = g.Listen(n.Listen, 0, func(func()) reactor.Handler { return &Session{front: f} }); err != nil {
 		return nil, fmt.Errorf("nats: %w", err)
 	}
 	return f, nil
--- a/internal/reactor/reactor.go
+++ b/internal/reactor/reactor.go
@@ -376,20 +376,20 @@
 	loop   *loop
 	fd     int
 	addr   string
-	accept func() Handler
-	most   int // connections that may be accepted and not Done; 0: no bound
+	accept func(done func()) Handler
+	most   int // connections that may be accepted and not done; 0: no bound
 
 	mu     sync.Mutex
 	slot   int32
 	gen    int32
 	undone int
-	full   bool // nothing is accepted until some are Done
+	full   bool // nothing is accepted until some are done
 	closed bool
 }
 
 // Listen opens an address. Each connection that comes is given a handler by accept. With most above 0, so many are accepted
-// at the most before Done is called for one of them; the others wait in the kernel's queue.
-func (g *Group) Listen(addr string, most int, accept func() Handler) (*Listener, error) {
+// at the most before done is called for one of them; the others wait in the kernel's queue.
+func (g *Group) Listen(addr string, most int, accept func(done func()) Handler) (*Listener, error) {
 	nl, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
@@ -414,7 +414,7 @@
 
 // Take has a listening socket that does not wait, and that other processes may accept from too: a wakeup whose connection
 // another took brings nothing. The listener closes this descriptor alone.
-func (g *Group) Take(fd int, addr string, most int, accept func() Handler) (*Listener, error) {
+func (g *Group) Take(fd int, addr string, most int, accept func(done func()) Handler) (*Listener, error) {
 	l := &Listener{group: g, loop: g.loops[0], fd: fd, addr: addr, accept: accept, most: most}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -476,11 +476,11 @@
 		return nil, err
 	}
 	unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
-	return &Conn{loop: l.group.pick(), fd: fd, handler: l.accept(), state: standing, want: unix.EPOLLIN | unix.EPOLLRDHUP}, nil
+	return &Conn{loop: l.group.pick(), fd: fd, handler: l.accept(l.done), state: standing, want: unix.EPOLLIN | unix.EPOLLRDHUP}, nil
 }
 
-// Done says that one more of the accepted connections is dealt with; see Listen.
-func (l *Listener) Done() {
+// done says that one more of the accepted connections is dealt with.
+func (l *Listener) done() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.undone--
