Force what crosses a retry: late answers, clients that leave, windows, drains, the last attempt

Need: the crossings of the retry timer and of idle ends are to be forced on real sockets. The program runs as a process; resets, closes, half closes and bytes behind the line are made at the moment that the server's end shows.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -71,6 +73,9 @@
 	if len(b) > 0 {
 		e.t.Errorf("%q came before the end", b)
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		e.t.Error("it never ended")
+	}
 	return err
 }
 
--- a/gateway/process_test.go
+++ b/gateway/process_test.go
@@ -128,7 +128,10 @@
 	addrs   []string // of servers; nil: the scripted one
 	deaf    bool     // discovery tells no list
 	giveUp  time.Duration
-	ready   bool // start waits until it is
+
+	effect string        // of the class; empty: idempotent
+	window time.Duration // of repeats
+	aim    time.Duration // of a set-up: the time of each attempt but the last
 }
 
 // longest is the deadline of the class: all that waits at a stop is answered 0.3 s later, and the end is 0.5 s later.
@@ -190,10 +193,16 @@
 	if c.giveUp == 0 {
 		c.giveUp = longest
 	}
+	if c.effect == "" {
+		c.effect = "idempotent"
+	}
+	if c.aim == 0 {
+		c.aim = 90 * time.Second
+	}
 	text := fmt.Sprintf(`{"discovery":%q,"limits":{"cores":1,"sockets":%d},"settings":{"caps":{"max_attempts":3,"retry_after":true,
 	 "max_retry_after_ns":1000000000},"discovery":"ask","family_info":{"mode":%q},"rules":{"stop_sending_within_ns":500000000},
-	 "classes":[{"name":"c","effect":"idempotent","group":"all","give_up_ns":%d,"slo_ns":90000000000}]}}`,
-		discovery, c.sockets, c.mode, c.giveUp.Nanoseconds())
+	 "classes":[{"name":"c","effect":%q,"group":"all","window_ns":%d,"give_up_ns":%d,"slo_ns":%d}]}}`,
+		discovery, c.sockets, c.mode, c.effect, c.window.Nanoseconds(), c.giveUp.Nanoseconds(), c.aim.Nanoseconds())
 	if err := os.WriteFile(p.file, []byte(text), 0o600); err != nil {
 		p.t.Fatal(err)
 	}
@@ -313,3 +322,8 @@
 		t.Cleanup(func() { c.Close() })
 	}
 }
+
+const (
+	sigStop = syscall.SIGSTOP
+	sigCont = syscall.SIGCONT
+)
