Count the lookups that come by a cold server, and don't take young gateways for quiet ones

Need: the sum at a cold server is to stay within N + 2 root N + 2, also at 20 and 30 gateways, with groups, retries and processes that know little. Ruled out: retries and lists that come apart, alone.

Change: arrivals are held against the part of the span that a gateway has lived; the budget counts the lookups that came by the server.

Also: a server's limit became no number before the first placement (growLimit divided by a sum of 0), and the server was out for good; found by a test that reads every formula at drawn figures of anybody's.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -87,6 +87,7 @@
 	b.actions = b.actions[:0]
 	if !b.started {
 		b.started = true
+		b.began = b.now
 		b.act(Wake{After: housekeeping, Ref: refHousekeeping})
 	}
 	switch ev := ev.(type) {
@@ -244,7 +245,7 @@
 			b.past = slices.Delete(b.past, 0, len(b.past)-maxPast)
 		}
 	}
-	b.table, b.shares, b.members, b.weight = buildTable(shares), shares, members, max(weight, 1e-9)
+	b.table, b.shares, b.members, b.weight = buildTable(shares), shares, members, max(weight, leastWeight)
 }
 
 // Cold servers.
@@ -265,7 +266,9 @@
 func (b *Balancer) admitCold(r *request, s *server) bool {
 	rate := coldSafety * max(b.set.TipMultiple, 1) * b.fullConnections(s) /
 		b.set.ColdTime.Seconds() / float64(b.set.Gateways)
-	tries := b.arrivals() * max(coldTries*s.Capacity/b.weight, coldGroup)
+	share := max(coldTries*s.Capacity/b.weight, coldGroup) // more where one group is most of all
+	tries := max(b.arrivals()*share, s.coldTried.value(b.now)*math.Ln2/evidenceHalf.Seconds())
+	s.coldTried.add(b.now, 1)
 	apart := min(coldApart/rate, b.set.TipTime.Seconds()) // in a burst the rate is learned too late
 	if (b.now-s.coldAt).Seconds() < apart || fraction(mix(uint64(r.ID), uint64(s.ID))) >= rate/tries {
 		return false
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -38,10 +38,14 @@
 	return list
 }
 
+// mustNew returns a Balancer; t may be nil.
 func mustNew(t testing.TB, set Settings) *Balancer {
-	t.Helper()
 	b, err := New(set)
 	if err != nil {
+		if t == nil {
+			panic(err)
+		}
+		t.Helper()
 		t.Fatal(err)
 	}
 	return b
--- a/rules/state.go
+++ b/rules/state.go
@@ -20,6 +20,7 @@
 	now     time.Duration
 	actions []Action
 	started bool
+	began   time.Duration // the first event
 	random  uint64
 
 	servers map[ServerID]*server
@@ -55,6 +56,9 @@
 	soundAt    time.Duration // when a server was last asked for room for moves
 }
 
+// leastWeight stands for the sum of capacities where no server is in the table, as before any placement.
+const leastWeight = 1e-9
+
 type pastTable struct {
 	table   table
 	members []*server
@@ -89,8 +93,9 @@
 	askedAt  time.Duration // 0: never
 	sent     int           // attempts since the last report
 
-	coldAt time.Duration // when a connection was last sent to it on a cold server's budget
-	tryAt  time.Duration // back by hand and untried: tried from then on; 0: nothing to try
+	coldTried fading        // lookups that came by it while it was cold
+	coldAt    time.Duration // when a connection was last sent to it on a cold server's budget
+	tryAt     time.Duration // back by hand and untried: tried from then on; 0: nothing to try
 }
 
 type request struct {
@@ -219,6 +224,7 @@
 	b := &Balancer{
 		set: set, random: set.Seed,
 		classes: map[string]int{}, servers: map[ServerID]*server{}, requests: map[RequestID]*request{},
+		weight: leastWeight,
 	}
 	b.set.Gateways = max(set.Gateways, 1)
 	b.set.MaxAttempts = max(set.MaxAttempts, 1)
@@ -424,7 +430,9 @@
 func (b *Balancer) arrivals() float64 {
 	span := evidenceHalf.Seconds() / math.Ln2
 	more := max(coldSafety*span/b.set.TipTime.Seconds()-1, 0)
-	return (b.came.value(b.now) + more) / span
+	age := max(b.now-b.began, evidenceHalf/30)
+	seen := 1 - math.Exp2(-float64(age)/float64(evidenceHalf)) // of the span, by a young process
+	return (b.came.value(b.now)/seen + more) / span
 }
 
 // loadWith is the load that a server would report with one connection more.
