--- a/internal/lab/planrun.go
+++ b/internal/lab/planrun.go
@@ -49,21 +49,21 @@
 
 func newSite() (*site, error) {
 	s := &site{servers: map[string]*standin.LineServer{}}
-	s.problem = &placement.Problem{Zones: []string{"bilbao", "oviedo", "santander"},
-		Demands:     []placement.Demand{{Zone: "bilbao", Class: "lines", Load: 400}, {Zone: "oviedo", Class: "lines", Load: 120}, {Zone: "santander", Class: "lines", Load: 80}},
-		Crossings:   []placement.Crossing{{From: "bilbao", To: "santander", Cost: 2}, {From: "santander", To: "bilbao", Cost: 2}},
+	s.problem = &placement.Problem{Zones: []string{"west", "north", "east"},
+		Demands:     []placement.Demand{{Zone: "west", Class: "lines", Load: 400}, {Zone: "north", Class: "lines", Load: 120}, {Zone: "east", Class: "lines", Load: 80}},
+		Crossings:   []placement.Crossing{{From: "west", To: "east", Cost: 2}, {From: "east", To: "west", Cost: 2}},
 		DefaultCost: 3,
 		Constraints: []placement.Constraint{{Name: "all", Kind: placement.Carry}, {Name: "room", Kind: placement.Headroom, Part: placement.Ratio{Num: 9, Den: 10}}},
 	}
 	var entries []standin.Node
-	for i, zone := range []string{"bilbao", "bilbao", "bilbao", "oviedo", "oviedo", "oviedo", "santander", "santander", "santander"} {
+	for i, zone := range []string{"west", "west", "west", "north", "north", "north", "east", "east", "east"} {
 		l, err := standin.NewLineServer()
 		if err != nil {
 			return nil, err
 		}
-		n := placement.Node{ID: fmt.Sprintf("s-%08x", i+1), Zone: zone, Model: "antiguo", Capacity: 100}
+		n := placement.Node{ID: fmt.Sprintf("s-%08x", i+1), Zone: zone, Model: "small", Capacity: 100}
 		if i%3 == 0 {
-			n.Model, n.Capacity = "nuevo", 150
+			n.Model, n.Capacity = "large", 150
 		}
 		s.problem.Nodes = append(s.problem.Nodes, n)
 		s.servers[n.ID] = l
@@ -382,9 +382,9 @@
 	r.Without = s.crossings(came)
 	// A gateway is stopped while clients come, and another takes its place.
 	if came, err = run(s.plan, "with", func(set func(string, *zoneGate), old map[string]*zoneGate) {
-		if g, err := s.gate(ctx, "bilbao", s.plan, logger); err == nil {
-			old["bilbao"].close()
-			set("bilbao", g)
+		if g, err := s.gate(ctx, "west", s.plan, logger); err == nil {
+			old["west"].close()
+			set("west", g)
 			r.Restarted++
 		}
 	}); err != nil {
@@ -392,7 +392,7 @@
 	}
 	r.With, r.Worst = s.crossings(came), deviation(came, s.plan.Load, each)
 
-	const lost = "santander"
+	const lost = "east"
 	var after operator.PlanContingency
 	for _, c := range s.plan.Contingencies {
 		if c.Name == "zone "+lost {
--- a/placement/brute_test.go
+++ b/placement/brute_test.go
@@ -307,7 +307,7 @@
 	p := &Problem{Zones: zones, DefaultCost: rapid.Int64Range(0, 2).Draw(t, "cost")}
 	for i := range rapid.IntRange(1, 6).Draw(t, "nodes") {
 		p.Nodes = append(p.Nodes, Node{ID: fmt.Sprint("n", i), Zone: rapid.SampledFrom(zones).Draw(t, "zone"),
-			Model:    rapid.SampledFrom([]string{"nuevo", "antiguo"}).Draw(t, "model"),
+			Model:    rapid.SampledFrom([]string{"large", "small"}).Draw(t, "model"),
 			Capacity: rapid.Int64Range(0, 3).Draw(t, "capacity"), Now: rapid.Int64Range(0, 2).Draw(t, "now")})
 	}
 	if len(zones) > 1 && rapid.Bool().Draw(t, "dear") {
@@ -325,8 +325,8 @@
 	for i, c := range []Constraint{
 		{Kind: Carry}, {Kind: Headroom, Part: Ratio{2, 3}}, {Kind: Keep, Class: "x"}, {Kind: Keep, Class: "x", Zones: []string{"a"}},
 		{Kind: KeepOut, Class: "x", Zones: []string{"a"}}, {Kind: Spread, Class: "x", Count: 2}, {Kind: Spread, Class: "x", Count: 2, Least: 2},
-		{Kind: Share, Part: Ratio{1, 2}}, {Kind: Together, Classes: []string{"x", "y"}}, {Kind: Pair, Model: "nuevo", With: "antiguo"},
-		{Kind: Moves, Count: 1}, {Kind: Carry, Class: "y"}, {Kind: Connections, Model: "nuevo", Count: 1, Least: 1},
+		{Kind: Share, Part: Ratio{1, 2}}, {Kind: Together, Classes: []string{"x", "y"}}, {Kind: Pair, Model: "large", With: "small"},
+		{Kind: Moves, Count: 1}, {Kind: Carry, Class: "y"}, {Kind: Connections, Model: "large", Count: 1, Least: 1},
 	} {
 		if rapid.IntRange(0, 3).Draw(t, "constrained") == 0 {
 			c.Name = fmt.Sprint("c", i)
--- a/placement/contingency.go
+++ b/placement/contingency.go
@@ -8,7 +8,7 @@
 
 // Contingency is what to do when nodes are lost.
 type Contingency struct {
-	Name  string // as node n1, zone a or batch antiguo 1
+	Name  string // as node n1, zone a or batch small 1
 	Lost  []string
 	Plan  *Plan       // nil: none meets the constraints
 	Short int64       // load that can't be carried then, in the plan or, where there is none, at best
--- a/placement/drawn.go
+++ b/placement/drawn.go
@@ -15,9 +15,9 @@
 	}
 	capacity := int64(0)
 	for i := range nodes {
-		n := Node{ID: fmt.Sprintf("n%05d", i), Zone: p.Zones[rng.IntN(zones)], Model: "antiguo", Capacity: 900 + rng.Int64N(200)}
+		n := Node{ID: fmt.Sprintf("n%05d", i), Zone: p.Zones[rng.IntN(zones)], Model: "small", Capacity: 900 + rng.Int64N(200)}
 		if rng.IntN(2) == 0 {
-			n.Model, n.Capacity = "nuevo", n.Capacity*3/2
+			n.Model, n.Capacity = "large", n.Capacity*3/2
 		}
 		capacity += n.Capacity
 		p.Nodes = append(p.Nodes, n)
--- a/placement/exhaustive_test.go
+++ b/placement/exhaustive_test.go
@@ -17,7 +17,7 @@
 		{Kind: Carry}, {Kind: Headroom, Part: Ratio{2, 3}}, {Kind: Keep, Class: "x"}, {Kind: Keep, Class: "x", Zones: []string{"a"}},
 		{Kind: KeepOut, Class: "x", Zones: []string{"a"}}, {Kind: Spread, Class: "x", Count: 2}, {Kind: Spread, Class: "x", Count: 3},
 		{Kind: Spread, Class: "x", Count: 2, Least: 2}, {Kind: Share, Part: Ratio{1, 2}}, {Kind: Together, Classes: []string{"x"}},
-		{Kind: Pair, Model: "nuevo", With: "antiguo"}, {Kind: Moves, Count: 1},
+		{Kind: Pair, Model: "large", With: "small"}, {Kind: Moves, Count: 1},
 	}
 	for i := range all {
 		all[i].Name = fmt.Sprint("c", i)
@@ -54,7 +54,7 @@
 						}
 						for i := range nodes {
 							p.Nodes = append(p.Nodes, Node{ID: fmt.Sprint("n", i), Zone: names[at[i]], Capacity: capacities[caps[i]],
-								Model: []string{"nuevo", "antiguo"}[i%2], Now: int64(i % 3 % 2)})
+								Model: []string{"large", "small"}[i%2], Now: int64(i % 3 % 2)})
 						}
 						for z := range zones {
 							p.Demands = append(p.Demands, Demand{names[z], "x", demands[loads[z]]})
--- a/placement/solve_test.go
+++ b/placement/solve_test.go
@@ -76,10 +76,10 @@
 // A fast machine and a slow one under a headroom that only just fits, and one that does not: the conflict is named with
 // lines, and what each member would have to give.
 func TestPairUnderHeadroom(t *testing.T) {
-	p := &Problem{Zones: []string{"bilbao"},
-		Nodes:   []Node{{ID: "a", Zone: "bilbao", Model: "antiguo", Capacity: 100}, {ID: "n", Zone: "bilbao", Model: "nuevo", Capacity: 200}},
-		Demands: []Demand{{"bilbao", "plan", 240}},
-		Constraints: []Constraint{{Name: "room", Line: 3, Kind: Headroom, Part: Ratio{8, 10}}, {Name: "pairs", Line: 4, Kind: Pair, Model: "nuevo", With: "antiguo"},
+	p := &Problem{Zones: []string{"west"},
+		Nodes:   []Node{{ID: "a", Zone: "west", Model: "small", Capacity: 100}, {ID: "n", Zone: "west", Model: "large", Capacity: 200}},
+		Demands: []Demand{{"west", "plan", 240}},
+		Constraints: []Constraint{{Name: "room", Line: 3, Kind: Headroom, Part: Ratio{8, 10}}, {Name: "pairs", Line: 4, Kind: Pair, Model: "large", With: "small"},
 			{Name: "all", Line: 5, Kind: Carry}},
 	}
 	plan, err := Solve(p, Options{})
@@ -92,7 +92,7 @@
 	if !errors.As(err, &e) || len(e.Conflict) != 2 {
 		t.Fatalf("%v", err)
 	}
-	for _, want := range []string{"room (line 3): 805/1000 would do in place of 8/10", "all (line 5): without it 1 units from bilbao are not carried"} {
+	for _, want := range []string{"room (line 3): 805/1000 would do in place of 8/10", "all (line 5): without it 1 units from west are not carried"} {
 		if !strings.Contains(err.Error(), want) {
 			t.Errorf("%v, want %s", err, want)
 		}
@@ -155,7 +155,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	list, err := Contingencies(p, plan, []Batch{{"nuevo", 2}}, Options{}, nil)
+	list, err := Contingencies(p, plan, []Batch{{"large", 2}}, Options{}, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
