Take a young gateway's arrivals by the larger of two guards, not by their sum

The count over the lived part of the span, and the count with as many more as make a burst, each guard against a rate that is not known; their sum did it twice.

--- a/rules/state.go
+++ b/rules/state.go
@@ -432,7 +432,8 @@
 	more := max(coldSafety*span/b.set.TipTime.Seconds()-1, 0)
 	age := max(b.now-b.began, evidenceHalf/30)
 	seen := 1 - math.Exp2(-float64(age)/float64(evidenceHalf)) // of the span, by a young process
-	return (b.came.value(b.now)/seen + more) / span
+	came := b.came.value(b.now)
+	return max(came/seen, came+more) / span
 }
 
 // loadWith is the load that a server would report with one connection more.
