--- a/internal/reactor/close_test.go
+++ b/internal/reactor/close_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"testing"
 	"time"
 
@@ -169,3 +170,25 @@
 		t.Errorf("got %q", s)
 	}
 }
+
+// What is sent before a dialed connection stands goes out once it does.
+func TestWhatIsSentWhileDialingGoesOut(t *testing.T) {
+	g := group(t, 1)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	c := g.Dial(l.Addr().String(), patience, &script{}, nil)
+	c.Do(func() { c.Send([]byte("early")) }) // behind the call to connect, before the word that it stands
+	in, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer in.Close()
+	in.SetDeadline(time.Now().Add(patience))
+	got := make([]byte, 5)
+	if _, err := io.ReadFull(in, got); err != nil || string(got) != "early" {
+		t.Errorf("got %q, %v", got, err)
+	}
+}
