--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -90,7 +90,7 @@
 	go func() {
 		code <- Run(context.Background(), []string{"milletvane"}, func(k string) string { return env[k] }, io.Discard, &errs)
 	}()
-	const whole, watch = "/catalog/members", "/catalog/members?after=7&wait_ms=10000"
+	const whole, watch = "/catalog/members", "/catalog/members?after=7&wait_ms=3000"
 	expect("first " + whole)
 	expect("first " + watch)
 	write("nowhere")
--- a/internal/discovery/crossing_test.go
+++ b/internal/discovery/crossing_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -59,23 +60,23 @@
 			for name, end := range ends {
 				t.Run(fmt.Sprint(name, ", then ", next, ", pushed ", set.Pushed), func(t *testing.T) {
 					play(t, set, func(p *service) {
-						brokeAt, told := time.Duration(0), false
+						var broke atomic.Int64 // when the watch did; handlers of calls run side by side
+						var told atomic.Bool
 						p.answer = func(w http.ResponseWriter, r *http.Request) {
-							at := p.at()
+							at, brokeAt := p.at(), time.Duration(broke.Load())
 							watch := strings.Contains(r.URL.RawQuery, "wait_ms=") && !strings.Contains(r.URL.RawQuery, "wait_ms=0")
 							switch {
 							case brokeAt == 0 && !watch:
 								io.WriteString(w, listOf(7, "s-00000001", "s-00000002"))
 							case brokeAt == 0:
-								brokeAt = at
+								broke.Store(int64(at))
 								if script.moved {
 									time.AfterFunc(news, func() { p.w.SetAddr("b.example:1") })
 								}
 								end(p, w)
 							case at < brokeAt+script.away && script.away > 0:
 								panic(http.ErrAbortHandler)
-							case script.first != "" && !told:
-								told = true
+							case script.first != "" && told.CompareAndSwap(false, true):
 								io.WriteString(w, script.first)
 							case at < brokeAt+news:
 								p.wait(w, r, func() (int64, string) { // until the news are there
@@ -98,7 +99,7 @@
 								break
 							}
 						}
-						if counts := brokeAt + max(news, script.away) + listclock.ToldAfter; p.at() > counts {
+						if counts := time.Duration(broke.Load()) + max(news, script.away) + listclock.ToldAfter; p.at() > counts {
 							t.Errorf("known at %v, it counts as told at %v", p.at(), counts)
 						}
 					})
