--- a/internal/listclock/told_test.go
+++ b/internal/listclock/told_test.go
@@ -153,3 +153,14 @@
 	}
 	os.Exit(m.Run())
 }
+
+// A call that does not wait is given the time that a busy service was seen to have callers stand in line, 2 s: who gives up
+// earlier stands in line again, behind the others, and may never be answered.
+func TestBusyServicesAreWaitedFor(t *testing.T) {
+	c := asked(300, 1)
+	for _, call := range []Call{c.Handle(0, Start{}), c.Handle(sec, Failed{}), c.Handle(4*sec, Silent{})} {
+		if call.Wait != 0 || call.Within <= 2*sec {
+			t.Errorf("%+v", call)
+		}
+	}
+}
