Reserve addresses that programs under test are to listen on, for tests and the lab

The test, the lab and the peers' tests opened a listener on port 0, closed it and passed its port on; until the program listened there, the port was anybody's, and with processes of many packages side by side some connection had it. Ruled out: the gateway listening twice (its log has one listener each), a listener left by an earlier test (the port was new). At fault: freeAddr in two packages of tests and freePort in the lab.

Change: standin.Reserve holds the port by a bound socket that never listens, which the kernel gives to nobody that does not share it, and which net.Listen shares.

--- a/gateway/nats_test.go
+++ b/gateway/nats_test.go
@@ -101,12 +101,13 @@
 }
 
 func freeAddr(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	t.Helper()
+	addr, release, err := standin.Reserve()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Cleanup(release)
+	return addr
 }
 
 func (f *fleet) entry(i int, state string) standin.Node {
--- a/internal/lab/gateway.go
+++ b/internal/lab/gateway.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"net"
 
 	"github.com/urfave/cli/v3"
 
@@ -13,16 +12,6 @@
 	"example.org/milletvane/internal/standin"
 )
 
-// freePort is a port of loopback that is free now.
-func freePort() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 // lineSettings are the settings that experiments with lines go by.
 const lineSettings = `{"caps":{"max_attempts":5,"connect_timeout_ns":1000000000,"retry_after":true,"max_retry_after_ns":2000000000},
  "discovery":"ask","family_info":{"mode":"proxy"},
@@ -55,10 +44,11 @@
 				return err
 			}
 			defer catalog.Close()
-			listen, err := freePort()
+			listen, release, err := standin.Reserve()
 			if err != nil {
 				return err
 			}
+			defer release()
 			conf, err := lineConfig(listen, catalog.Addr(), c.Int("cores"))
 			if err != nil {
 				return err
--- a/internal/lab/natsfleet.go
+++ b/internal/lab/natsfleet.go
@@ -36,14 +36,16 @@
 
 // startNATSGate starts a gateway in front of a catalog and waits until it serves. Operators call at admin; empty: nowhere.
 func startNATSGate(ctx context.Context, catalog string, admin string, cores int, logger *slog.Logger) (*natsGate, error) {
-	lines, err := freePort()
+	lines, releaseLines, err := standin.Reserve()
 	if err != nil {
 		return nil, err
 	}
-	listen, err := freePort()
+	defer releaseLines()
+	listen, releaseListen, err := standin.Reserve()
 	if err != nil {
 		return nil, err
 	}
+	defer releaseListen()
 	conf, err := config.Parse([]byte(fmt.Sprintf(`{"name":"lab","listen":%q,"discovery":%q,"admin_addr":%q,
 	 "limits":{"cores":%d,"memory_mb":2048,"sockets":16384},"settings":%s}`, lines, catalog, admin, cores, natsSettings)),
 		func(string) string { return "" })
--- a/internal/lab/planrun.go
+++ b/internal/lab/planrun.go
@@ -111,10 +111,11 @@
 }
 
 func (s *site) gate(ctx context.Context, zone string, plan *operator.Plan, logger *slog.Logger) (*zoneGate, error) {
-	listen, err := freePort()
+	listen, release, err := standin.Reserve()
 	if err != nil {
 		return nil, err
 	}
+	defer release()
 	conf, err := lineConfig(listen, s.catalog.Addr(), 1)
 	if err != nil {
 		return nil, err
--- a/internal/lab/powerfleet.go
+++ b/internal/lab/powerfleet.go
@@ -23,6 +23,7 @@
 	list          []*fleetGate
 	catalogAddr   string
 	retired       int
+	release       []func() // of addresses
 
 	mu      sync.Mutex
 	catalog *standin.Catalog // nil: down
@@ -33,6 +34,15 @@
 	down    []bool // tipped, and down for good
 }
 
+// reserve keeps an address for the fleet's time.
+func (f *powerFleet) reserve() (string, error) {
+	addr, release, err := standin.Reserve()
+	if err == nil {
+		f.release = append(f.release, release)
+	}
+	return addr, err
+}
+
 // begin starts discovery and the nodes, and writes the gateways' files.
 func (f *powerFleet) begin(n int, together bool, plant string) error {
 	f.retired = n - 1
@@ -52,7 +62,7 @@
 	f.catalogAddr = f.catalog.Addr()
 	addrs := make([]string, f.gates)
 	for i := range addrs {
-		if addrs[i], err = freePort(); err != nil {
+		if addrs[i], err = f.reserve(); err != nil {
 			return err
 		}
 	}
@@ -63,7 +73,7 @@
 	}
 	for i := range f.gates {
 		g := &fleetGate{name: fmt.Sprint("g", i), dir: filepath.Join(f.root, fmt.Sprint("disk", i))}
-		if g.listen, err = freePort(); err != nil {
+		if g.listen, err = f.reserve(); err != nil {
 			return err
 		}
 		if err := os.MkdirAll(g.dir, 0o700); err != nil {
@@ -206,6 +216,9 @@
 		g.kill()
 		g.log.Close()
 	}
+	for _, release := range f.release {
+		release()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.catalog != nil {
--- a/internal/lab/silentwatch.go
+++ b/internal/lab/silentwatch.go
@@ -95,10 +95,11 @@
 		nodes = append(nodes, n)
 		catalog.Set(entry(i, standin.InService))
 	}
-	listen, err := freePort()
+	listen, release, err := standin.Reserve()
 	if err != nil {
 		return p, err
 	}
+	defer release()
 	text := fmt.Sprintf(`{"listen":%q,"discovery":%q,"seed":"%x","settings":%s}`, listen, catalog.Addr(), seed,
 		strings.NewReplacer(`"ask"`, fmt.Sprintf("%q", mode), `within_ns":500000000`, fmt.Sprintf(`within_ns":%d`, figures.grace)).Replace(lineSettings))
 	conf, err := config.Parse([]byte(text), func(string) string { return "" })
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -16,6 +16,7 @@
 	"example.org/milletvane/internal/peer"
 	"example.org/milletvane/internal/peer/peertest"
 	"example.org/milletvane/internal/peer/simnet"
+	"example.org/milletvane/internal/standin"
 	"example.org/milletvane/internal/store/faulty"
 )
 
@@ -74,12 +75,13 @@
 var key = []byte("0123456789abcdef")
 
 func freeAddr(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	t.Helper()
+	addr, release, err := standin.Reserve()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Cleanup(release)
+	return addr
 }
 
 func (r socketRig) Start(o peer.Options) peer.Transport {
