Bound the lookups for a group's member, so that busy fleets do not scatter groups

Each search went on over up to 160 lookups until some server was under 0.6, so each placement in a busy fleet made a new pair, which filled the fleet further: a loop.

Strays do miss (of 2,585 17% came to their holder), and most placements past the bound were of strays and blind tries, but neither is the cause. At fault: lookups and lookupsMost in place().

Change: a group's member looks eight times, cold servers included (four before); who has no group looks 160 times as before. The two constants for it become one.

--- a/rules/cold_test.go
+++ b/rules/cold_test.go
@@ -31,7 +31,7 @@
 				w.b.came, s.coldAt, s.Started, s.coldTried = fading{}, 0, w.b.now-sec, fading{}
 				w.b.came.add(w.b.now, 1)
 				id++
-				for j := range coldTries {
+				for j := range lookupsNear {
 					if mix(uint64(id), uint64(j))%members == 0 &&
 						w.b.admitCold(&request{Request: Request{ID: id}}, s) {
 						sent++
--- a/rules/daily_test.go
+++ b/rules/daily_test.go
@@ -90,7 +90,7 @@
 				w.b.now, s.Started = w.now, w.now // stays as cold
 				w.b.came.add(w.now, 1)
 				id := RequestID(g*1000 + i + 1)
-				for j := range coldTries {
+				for j := range lookupsNear {
 					if mix(uint64(id), uint64(j))%members == 0 && time.Duration(i)*f.every >= 10*sec &&
 						w.b.admitCold(&request{Request: Request{ID: id}}, s) {
 						sent++
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -20,8 +20,8 @@
 	holdFor      = 500 * time.Millisecond // a request waits this long for the first list
 	answerMargin = 20 * time.Millisecond  // but is answered this long before its deadline
 	drainPart    = 9                      // tenths of the drain grace in which strays are still sent
-	lookups      = 4                      // for each server, in a search for an alternate,
-	lookupsMost  = 160                    // and so many at most: beyond, a search costs more than it finds
+	lookupsMost  = 160                    // in a search for an alternate: more cost more than they find,
+	lookupsNear  = 8                      // and in a group's, that it stays together, or for a cold server
 	maxPast      = 2                      // tables kept for strays
 
 	boundOver  = 0.5 // a server takes this share over its part of the load before keys overflow,
@@ -63,7 +63,6 @@
 	retryShare = 0.2              // and for each request taken so many more; never more than this
 
 	coldSafety = 0.6 // part of a cold server's budget that is used
-	coldTries  = 4   // lookups, the first of a request's, in which cold servers are tried
 	coldGroup  = 0.1 // part of the requests that are counted on at one server at the least
 	coldApart  = 0.5 // of the time between two of a gateway's connections to one, two are this far apart
 	coldRoom   = 6.0 // connections that a server is held to bear at least
@@ -266,7 +265,7 @@
 func (b *Balancer) admitCold(r *request, s *server) bool {
 	rate := coldSafety * max(b.set.TipMultiple, 1) * b.fullConnections(s) /
 		b.set.ColdTime.Seconds() / float64(b.set.Gateways)
-	share := max(coldTries*s.Capacity/b.weight, coldGroup) // more where one group is most of all
+	share := max(lookupsNear*s.Capacity/b.weight, coldGroup) // more where one group is most of all
 	tries := max(b.arrivals()*share, s.coldTried.value(b.now)*math.Ln2/evidenceHalf.Seconds())
 	s.coldTried.add(b.now, 1)
 	apart := min(coldApart/rate, b.set.TipTime.Seconds()) // in a burst the rate is learned too late
@@ -536,10 +535,11 @@
 	if r.Returned && !b.vouches(b.entry(r, first)) {
 		first += 1 + int(mix(uint64(r.ID), keySeed)%returnOver)
 	}
-	for i := range min(lookups*len(b.members), lookupsMost) + 1 {
-		if shed && i > coldTries { // a cold server is looked for as far as its budget goes
-			break
-		}
+	most := lookupsMost
+	if shed || r.Group != "" {
+		most = lookupsNear
+	}
+	for i := range most + 1 {
 		j := i - 1
 		if i == 0 { // its own part of the group; then the others and their alternates
 			j = first
@@ -576,7 +576,7 @@
 			bad++
 		}
 		if b.coldAge(s) < 1 {
-			if bad < 2 && i <= coldTries && b.admitCold(r, s) {
+			if bad < 2 && i <= lookupsNear && b.admitCold(r, s) {
 				return s
 			}
 			continue
