--- a/gateway/crossing_retry_test.go
+++ b/gateway/crossing_retry_test.go
@@ -176,15 +176,23 @@
 // order.
 func TestIdleEndCrossesTheClientsLines(t *testing.T) {
 	for _, word := range []string{"MOVE\r\n", "BYE\r\n", "M 1 x\r\n"} {
-		t.Run(strings.TrimSpace(word), func(t *testing.T) {
-			p := startProgram(t, conf{mode: "pass"})
-			client, server := p.open()
-			p.signal(sigStop) // both sides act before the program hears of either
-			client.send(strings.Repeat("M 1\r\n", 1000))
-			server.send(word)
-			server.c.(*net.TCPConn).CloseWrite()
-			p.signal(sigCont)
-			client.answered(strings.TrimSpace(word))
-		})
+		for _, first := range []string{"client", "server"} { // the kernel tells of them in the order in which they acted
+			t.Run(strings.TrimSpace(word)+", first the "+first, func(t *testing.T) {
+				p := startProgram(t, conf{mode: "pass"})
+				client, server := p.open()
+				p.signal(sigStop) // both sides act before the program hears of either
+				lines := func() { client.send(strings.Repeat("M 1\r\n", 1000)) }
+				if first == "client" {
+					lines()
+				}
+				server.send(word)
+				server.c.(*net.TCPConn).CloseWrite()
+				if first == "server" {
+					lines()
+				}
+				p.signal(sigCont)
+				client.answered(strings.TrimSpace(word))
+			})
+		}
 	}
 }
--- a/internal/line/front/finish_test.go
+++ b/internal/line/front/finish_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"example.org/milletvane/internal/engine"
 	"example.org/milletvane/internal/reactor"
 )
@@ -95,3 +97,64 @@
 		}
 	}
 }
+
+// A process that ends while another serves on the same socket answers whom it has accepted, and leaves the queue to the other.
+func TestASharedSocketsQueueIsTheOthers(t *testing.T) {
+	g, err := reactor.New(2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer g.Close()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	raw, err := l.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer raw.Close()
+	fd, err := unix.FcntlInt(raw.Fd(), unix.F_DUPFD_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	unix.SetNonblock(fd, true)
+	e := &deaf{}
+	f, err := Take(fd, l.Addr().String(), e, g)
+	if err != nil {
+		t.Fatal(err)
+	}
+	const queued = 8
+	var clients []net.Conn
+	for range unseenMost + queued {
+		c, err := net.Dial("tcp", f.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		c.SetDeadline(time.Now().Add(patience))
+		clients = append(clients, c)
+	}
+	until(t, "accepted", func() bool { return len(e.accepted()) == unseenMost })
+	g.Settle(patience)
+	f.Finish()
+	l.(*net.TCPListener).SetDeadline(time.Now().Add(patience))
+	for range queued {
+		c, err := l.Accept()
+		if err != nil {
+			t.Fatal("taken from the other: ", err)
+		}
+		io.WriteString(c, "served\r\n")
+		c.Close()
+	}
+	for i, c := range clients {
+		want := "BUSY\r\n"
+		if i >= unseenMost {
+			want = "served\r\n"
+		}
+		if got, err := io.ReadAll(c); string(got) != want || err != nil {
+			t.Errorf("client %d got %q, %v, want %q", i, got, err, want)
+		}
+	}
+}
