--- a/rules/rules.go
+++ b/rules/rules.go
@@ -154,38 +154,6 @@
 	b.serveWaiting()
 }
 
-func (b *Balancer) update(e Server) {
-	if !(e.Capacity > 0) || math.IsInf(e.Capacity, 1) {
-		e.Capacity = 1
-	}
-	s := b.servers[e.ID]
-	if s == nil {
-		s = &server{Server: e, sum: sum{unknown: make([]int, len(b.set.Classes))},
-			groups: map[string]int{}, told: b.now}
-		if e.State != Gone { // one first heard of as gone was never there to be in doubt
-			s.State = Ready
-		}
-		b.servers[e.ID] = s
-		i, _ := slices.BinarySearchFunc(b.order, s, byID)
-		b.order = slices.Insert(b.order, i, s)
-	} else if e.Started > s.Started {
-		b.renew(s) // a restart: what was known of the old process is void
-	}
-	state := e.State
-	e.State = s.State
-	if e.Zone == "" {
-		e.Zone = s.Zone
-	}
-	s.Server = e
-	b.setState(s, state)
-}
-
-// renew forgets what was learned of a server's process.
-func (b *Balancer) renew(s *server) {
-	s.drained, s.strikes, s.ejected, s.ejections, s.probation = false, fading{}, 0, 0, false
-	s.limit, s.pausedUntil = 0, 0
-}
-
 // setState follows the list. Where only draining binds, a server that is called gone, or left out, is in
 // doubt: it keeps its slots, since its own connections and outcomes tell more. One good outcome and it serves
 // as before; until then one attempt at a time may try it, and the first failure confirms the list, as does an
@@ -276,6 +244,17 @@
 	return true
 }
 
+// arrivals is how many requests come a second, of late. As many more are counted as make a burst, in which
+// each gateway has one request and knows of no other, spend no more than a cold server bears in TipTime.
+func (b *Balancer) arrivals() float64 {
+	span := evidenceHalf.Seconds() / math.Ln2
+	more := max(coldSafety*span/b.set.TipTime.Seconds()-1, 0)
+	age := max(b.now-b.began, evidenceHalf/30)
+	seen := 1 - math.Exp2(-float64(age)/float64(evidenceHalf)) // of the span, by a young process
+	came := b.came.value(b.now)
+	return max(came/seen, came+more) / span
+}
+
 // Requests.
 
 func (b *Balancer) onRequest(ev Request) {
@@ -913,6 +892,27 @@
 	}
 }
 
+// stays is the chance that decides which connections are the last to be moved off a server, alike at every
+// gateway. A group's members go together, as what it costs the server is paid until the last has gone.
+func (r *request) stays(s *server) float64 {
+	return moveWhole*fraction(mix(r.hash, uint64(s.ID))) + (1-moveWhole)*r.chance(s.ID)
+}
+
+// room is the part of the table's weight that can take more, of servers that told their loads if they can.
+func (b *Balancer) room() float64 {
+	free, all := 0.0, 0.0
+	for _, s := range b.members {
+		if b.set.Reports && !b.toldOf(s) {
+			continue
+		}
+		all += s.Capacity
+		if b.hasRoom(s, 0, 1) {
+			free += s.Capacity
+		}
+	}
+	return free / max(all, 1e-9)
+}
+
 // sound asks one server a look whose load is not known, while clients are to be moved: a gateway that holds
 // few connections hears of the servers that hold them alone, and would find no room while others stand idle.
 func (b *Balancer) sound() {
--- a/rules/state.go
+++ b/rules/state.go
@@ -306,12 +306,6 @@
 	return fraction(mix(r.client, uint64(of)))
 }
 
-// stays is the chance that decides which connections are the last to be moved off a server, alike at every
-// gateway. A group's members go together, as what it costs the server is paid until the last has gone.
-func (r *request) stays(s *server) float64 {
-	return moveWhole*fraction(mix(r.hash, uint64(s.ID))) + (1-moveWhole)*r.chance(s.ID)
-}
-
 func (b *Balancer) attach(r *request, s *server) {
 	r.server = s
 	s.open = append(s.open, r)
@@ -425,17 +419,6 @@
 	s.pending--
 }
 
-// arrivals is how many requests come a second, of late. As many more are counted as make a burst, in which
-// each gateway has one request and knows of no other, spend no more than a cold server bears in TipTime.
-func (b *Balancer) arrivals() float64 {
-	span := evidenceHalf.Seconds() / math.Ln2
-	more := max(coldSafety*span/b.set.TipTime.Seconds()-1, 0)
-	age := max(b.now-b.began, evidenceHalf/30)
-	seen := 1 - math.Exp2(-float64(age)/float64(evidenceHalf)) // of the span, by a young process
-	came := b.came.value(b.now)
-	return max(came/seen, came+more) / span
-}
-
 // loadWith is the load that a server would report with one connection more.
 func (b *Balancer) loadWith(s *server) float64 { return s.load + float64(s.sent+1)*s.each }
 
@@ -445,6 +428,54 @@
 // toldOf reports whether a server's own word of its load is young enough to place by.
 func (b *Balancer) toldOf(s *server) bool { return s.reportAt > 0 && b.now-s.reportAt <= reportFor }
 
+func (b *Balancer) update(e Server) {
+	if !(e.Capacity > 0) || math.IsInf(e.Capacity, 1) {
+		e.Capacity = 1
+	}
+	s := b.servers[e.ID]
+	if s == nil {
+		s = &server{Server: e, sum: sum{unknown: make([]int, len(b.set.Classes))},
+			groups: map[string]int{}, told: b.now}
+		if e.State != Gone { // one first heard of as gone was never there to be in doubt
+			s.State = Ready
+		}
+		b.servers[e.ID] = s
+		i, _ := slices.BinarySearchFunc(b.order, s, byID)
+		b.order = slices.Insert(b.order, i, s)
+	} else if e.Started > s.Started {
+		b.renew(s) // a restart: what was known of the old process is void
+	}
+	state := e.State
+	e.State = s.State
+	if e.Zone == "" {
+		e.Zone = s.Zone
+	}
+	s.Server = e
+	b.setState(s, state)
+}
+
+// renew forgets what was learned of a server's process.
+func (b *Balancer) renew(s *server) {
+	s.drained, s.strikes, s.ejected, s.ejections, s.probation = false, fading{}, 0, 0, false
+	s.limit, s.pausedUntil = 0, 0
+}
+
+// fullConnections guesses how many connections a server bears warm, from the reports of warm ones, or else
+// from what they hold: that is all they bear where the fleet is full, and too few where it is not.
+func (b *Balancer) fullConnections(s *server) float64 {
+	if b.bears.weight > 0 {
+		return max(b.bears.value*s.Capacity, coldRoom)
+	}
+	held, weight := 0.0, 1e-9
+	for _, o := range b.members {
+		if b.coldAge(o) == 1 {
+			held += float64(len(o.open))
+			weight += o.Capacity
+		}
+	}
+	return max(held*float64(b.set.Gateways)/weight*s.Capacity, coldRoom)
+}
+
 // forget drops servers that are long gone and hold nothing, so that a fleet whose machines get new ids does
 // not grow the memory. One in doubt that nothing was sent to for that long is taken for gone.
 func (b *Balancer) forget() {
@@ -495,34 +526,3 @@
 	}
 	return b.unit()
 }
-
-// fullConnections guesses how many connections a server bears warm, from the reports of warm ones, or else
-// from what they hold: that is all they bear where the fleet is full, and too few where it is not.
-func (b *Balancer) fullConnections(s *server) float64 {
-	if b.bears.weight > 0 {
-		return max(b.bears.value*s.Capacity, coldRoom)
-	}
-	held, weight := 0.0, 1e-9
-	for _, o := range b.members {
-		if b.coldAge(o) == 1 {
-			held += float64(len(o.open))
-			weight += o.Capacity
-		}
-	}
-	return max(held*float64(b.set.Gateways)/weight*s.Capacity, coldRoom)
-}
-
-// room is the part of the table's weight that can take more, of servers that told their loads if they can.
-func (b *Balancer) room() float64 {
-	free, all := 0.0, 0.0
-	for _, s := range b.members {
-		if b.set.Reports && !b.toldOf(s) {
-			continue
-		}
-		all += s.Capacity
-		if b.hasRoom(s, 0, 1) {
-			free += s.Capacity
-		}
-	}
-	return free / max(all, 1e-9)
-}
