--- a/Makefile
+++ b/Makefile
@@ -22,3 +22,9 @@
 .PHONY: placement-exhaustive
 placement-exhaustive:
 	go test -count=1 -timeout 60m -run GridAgrees -v ./placement -exhaustive
+
+# What the bench wants beside a site file, laid beside ours in deploy/sites; git ignores it.
+KIT = ../given/kit
+.PHONY: sites
+sites:
+	cp $(KIT)/sites/real.json $(KIT)/sites/wire.json $(KIT)/sites/unlock.txt deploy/sites/
--- a/config/config.go
+++ b/config/config.go
@@ -38,16 +38,21 @@
 )
 
 const (
-	ownSockets   = 48                     // for the listener, discovery, epoll, logs and connections that are on their way out
+	ownSockets   = 48                     // for the listener, discovery, epoll, logs and connections on their way in or out
 	adminSockets = 20                     // for operators: their listener, those who call and files that are written for them
 	leastSockets = 16                     // for clients and their servers
 	drainMost    = 3 * time.Second        // a longer deadline is taken as this when the platform ends a program,
-	drainMore    = 500 * time.Millisecond // and a client that comes late still has its answer
+	answerMore   = 300 * time.Millisecond // and a client that comes late still has its answer,
+	drainMore    = 500 * time.Millisecond // and half a line its end
 	// Where packets pass through, another gateway takes up what is open when this one is gone. An end before the
 	// platform ends the program would break these connections instead, so it is left to the platform for so long.
 	drainPass = 15 * time.Second
 )
 
+// OnTheirWay is how many of the program's own descriptors connections may have that are accepted and not counted yet, or
+// closed and linger.
+const OnTheirWay = 32
+
 // Limits are what the program may use.
 type Limits struct {
 	Cores    float64
@@ -78,6 +83,7 @@
 	Rules     rules.Settings
 	List      listclock.Settings
 	Node      settings.Node
+	AnswerBy  time.Duration // from a planned stop until all that waits has its answer
 	Drain     time.Duration // from a planned stop to the end
 }
 
@@ -209,6 +215,7 @@
 		c.Node.LongestWait = defaultLongestWait
 	}
 	c.Rules.Reports = c.Node.Probes
+	c.AnswerBy = min(c.Node.LongestWait, drainMost) + answerMore
 	c.Drain = min(c.Node.LongestWait, drainMost) + drainMore
 	if c.Node.Pass {
 		c.Drain = drainPass
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -106,7 +106,7 @@
 	g.engine = drive.New(engine.New(engine.Options{
 		Ranks: ranks, Tiers: g.tiers,
 		Sockets: c.Limits.ForClients(), Openings: c.Limits.Idle(), Classes: classes, RetryAfter: c.Rules.MaxRetryAfter, DefaultWait: c.Node.LongestWait, AnswerSlack: c.Node.AnswerSlack,
-		Pass: c.Node.Pass, Park: c.Rules.Park, TellsDelay: c.Node.TellsDelay, MessageAim: c.Node.MessageAim, Probes: c.Node.Probes, Drain: c.Drain,
+		Pass: c.Node.Pass, Park: c.Rules.Park, TellsDelay: c.Node.TellsDelay, MessageAim: c.Node.MessageAim, Probes: c.Node.Probes, AnswerBy: c.AnswerBy, Drain: c.Drain,
 		Figures: g.figures, Logger: g.logger, Trace: g.logger.Enabled(context.Background(), slog.LevelDebug),
 	}, balancer, g, attempts))
 	g.lines = attempts
@@ -119,6 +119,10 @@
 	return g, nil
 }
 
+// settleFor is how long the end waits for clients to read what was last sent. The platform ends the program 0.2 s after
+// the engine's end at the earliest.
+const settleFor = 100 * time.Millisecond
+
 // nodePayload is what a node may send at once, though clients may not: it passes on what others publish.
 const nodePayload = 8 << 20
 
@@ -246,6 +250,7 @@
 		return fmt.Errorf("gateway: %w", err)
 	}
 	defer conns.Close()
+	conns.SetBudget(g.config.Limits.ForClients() + config.OnTheirWay)
 	g.lines.Connect(g.engine, conns)
 	if g.config.Passed > 0 {
 		if err := handover.Socket(g.config.Passed, g.config.Listen); err != nil {
@@ -314,9 +319,10 @@
 	g.logger.Info("serving", "name", g.config.Name, "listen", f.Addr(), "discovery", g.config.Discovery,
 		"pass", g.config.Node.Pass, "connections", g.config.Limits.Connections())
 	g.engine.Run(ctx, g.clock)
-	f.Close()
+	f.Finish()
 	stopWatching()
 	wg.Wait()
+	conns.Settle(settleFor)
 	return nil
 }
 
--- a/internal/engine/api.go
+++ b/internal/engine/api.go
@@ -19,7 +19,7 @@
 	Slot() *Ticket
 	Refuse(after time.Duration) // nothing was done; trying again is harmless
 	Fail()                      // failed, with no promise, or never to be done
-	Close()                     // ended, both sides, with no word
+	Close()                     // ended, both sides, with no word but an answer to what may be on its way
 	// Move says that an open connection is to leave its server: its client is sent away politely, or taken elsewhere
 	// by its front. One that has not left after the time returned is closed; 0 is taken as a second.
 	Move() time.Duration
@@ -77,8 +77,12 @@
 type Event interface{ event() }
 
 type (
-	// Accepted brings a connection that has asked for nothing yet.
-	Accepted struct{ Client Client }
+	// Accepted brings a connection that has asked for nothing yet. Done, if there is one, is called once it has been taken
+	// or turned away.
+	Accepted struct {
+		Client Client
+		Done   func()
+	}
 	// Alive says that a connection without a request is in use, as by health checks.
 	Alive struct{ Client Client }
 	// Arrived brings an accepted connection's request.
@@ -134,7 +138,8 @@
 	}
 	// Shed tells what the fleet sheds, as rules.Shed.
 	Shed struct{ Level float64 }
-	// Stop begins the end: what comes is still served, until Drain has gone by.
+	// Stop begins the end: what comes is still served, until AnswerBy has gone by where connections end with this
+	// gateway, and else until Drain has.
 	Stop struct{}
 )
 
@@ -169,6 +174,7 @@
 	TellsDelay  bool                           // the rules want word of slow messages
 	MessageAim  time.Duration                  // the shortest wanted time of a message; 0: none stated
 	Probes      bool                           // servers may be asked for their load
+	AnswerBy    time.Duration                  // from Stop until all that waits is answered; 0: Drain
 	Drain       time.Duration                  // from Stop to the end
 	Figures     *metrics.Set                   // what is reported; nil: nobody reads it
 	Logger      *slog.Logger
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -40,6 +40,7 @@
 	dueMove
 	dueTick
 	dueStats
+	dueClosing
 	dueEnd
 )
 
@@ -72,11 +73,11 @@
 	heirs     map[string]slot.ID // connections of the process before, by their clients' names for them
 	came      map[string]bool    // of these, those whose packets have come here
 	queue     []rules.Event      // outcomes that follow at once from actions
-	stopping  bool
+	stage     stage
 	stoppedAt time.Duration
+	answerBy  time.Duration // what waits at the stop is answered by then
 
 	inheritedAt time.Duration // when the process before was last heard of
-	ended       bool
 	counts      counts
 
 	toldNoList bool // since the last regular line
@@ -109,7 +110,7 @@
 func (e *Engine) Ready() bool { return e.ready.Load() }
 
 // Ended reports whether the end that Stop began is over.
-func (e *Engine) Ended() bool { return e.ended }
+func (e *Engine) Ended() bool { return e.stage == ended }
 
 // Start sets the regular looks going.
 func (e *Engine) Start(now time.Duration) {
@@ -124,6 +125,9 @@
 	switch ev := ev.(type) {
 	case Accepted:
 		e.onAccepted(ev.Client)
+		if ev.Done != nil {
+			ev.Done()
+		}
 	case Alive:
 		if r := e.of(ev.Client); r != nil && r.phase == opening {
 			e.rearm(&r.answer, e.now+openingFor, due{kind: dueOpening, id: r.id})
@@ -186,7 +190,7 @@
 // Expire carries out what has come due.
 func (e *Engine) Expire(now time.Duration) {
 	e.now = max(e.now, now)
-	for !e.ended {
+	for e.stage != ended {
 		d, ok := e.deadlines.Pop(e.now)
 		if !ok {
 			return
@@ -218,13 +222,15 @@
 			e.look()
 			e.countServers()
 			e.lookInherited()
-			if e.stopping && e.requests.Len() == 0 && e.now-e.stoppedAt >= quietFor {
+			if e.stage > serving && e.requests.Len() == 0 && e.now-e.stoppedAt >= quietFor {
 				e.end()
 			}
 		case dueStats:
 			e.deadlines.Add(e.now+statsEvery, due{kind: dueStats})
 			e.logStats()
 			e.toldNoList = false
+		case dueClosing:
+			e.onClosing()
 		case dueEnd:
 			e.end()
 		}
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -101,7 +101,7 @@
 }
 
 func (e *Engine) onAccepted(c Client) {
-	if !e.room(nil) {
+	if e.stage >= closing || !e.room(nil) {
 		e.counts.refused++
 		c.Refuse(e.opts.RetryAfter)
 		return
@@ -149,6 +149,9 @@
 	if q.Wait <= 0 {
 		q.Wait = e.opts.DefaultWait
 	}
+	if e.stage > serving { // nothing may be owed when the platform ends the program
+		q.Wait = min(q.Wait, max(e.answerBy-e.now, lateWait))
+	}
 	r.phase, r.deadline = waiting, e.now+q.Wait
 	req := rules.Request{
 		ID: rules.RequestID(r.id), Class: q.Class, Tenant: q.Tenant, Key: q.Key, Group: q.Group,
@@ -259,6 +262,9 @@
 	if !r.carried {
 		e.tell(rules.Opened{ID: rules.RequestID(r.id), Attempt: ev.Number, Server: r.server, Elapsed: ev.Elapsed})
 	}
+	if e.stage == closing && r.phase == open { // it came up as it was to be given up
+		e.move(r, rules.Cancelled)
+	}
 }
 
 func (e *Engine) onEnded(ev Ended) {
--- a/internal/engine/stop.go
+++ b/internal/engine/stop.go
@@ -3,28 +3,67 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"example.org/milletvane/internal/slot"
 	"example.org/milletvane/rules"
 )
 
+// stage is how far the engine's life has come. Stages follow in this order; closing is passed over where packets pass through.
+type stage uint8
+
+const (
+	serving  stage = iota
+	draining       // a stop was asked for: what comes is served, and answered before the platform may end the program
+	closing        // nothing new is taken, and what still comes up is moved
+	ended
+)
+
+// lateWait is the time that a request has which comes when those that waited at the stop have had their answers.
+const lateWait = 150 * time.Millisecond
+
 // order lists the servers by number.
 func (e *Engine) order() []rules.ServerID { return slices.Sorted(maps.Keys(e.servers)) }
 
 // onStop begins the end. New connections keep coming for a while and are served. Where packets pass
 // through, open connections stay as they are, since another gateway takes them up; else their clients are
-// moved at once, so that none is cut off.
+// moved at once, so that none is cut off. All that waits for its answer has it before the platform may end the program,
+// whatever its deadline.
 func (e *Engine) onStop() {
-	if e.stopping {
+	if e.stage > serving {
 		return
 	}
-	e.stopping, e.stoppedAt = true, e.now
-	e.opts.Logger.Info("stopping", "connections", e.requests.Len(), "drain", e.opts.Drain)
+	e.stage, e.stoppedAt = draining, e.now
+	within := e.opts.Drain
+	if e.opts.AnswerBy > 0 {
+		within = min(e.opts.AnswerBy, within)
+	}
+	e.answerBy = e.now + within
+	e.opts.Logger.Info("stopping", "connections", e.requests.Len(), "answer_by", within, "drain", e.opts.Drain)
 	e.deadlines.Add(e.now+e.opts.Drain, due{kind: dueEnd})
-	if e.opts.Pass {
+	e.tell(rules.Stop{By: e.answerBy})
+	e.requests.All(func(_ slot.ID, r *request) bool {
+		if r.phase == waiting {
+			e.hurry(r)
+		}
+		return true
+	})
+	if !e.opts.Pass {
+		e.deadlines.Add(e.answerBy, due{kind: dueClosing})
+		e.moveAll()
+	}
+}
+
+// hurry has a request that waits answered by the time that a stop leaves.
+func (e *Engine) hurry(r *request) {
+	if r.deadline <= e.answerBy {
 		return
 	}
-	e.moveAll()
+	r.deadline = e.answerBy
+	e.rearm(&r.answer, r.deadline+e.opts.AnswerSlack, due{kind: dueAnswer, id: r.id})
+	if r.timeout != nil && r.timeout.At() > r.deadline {
+		e.rearm(&r.timeout, r.deadline, due{kind: dueAttempt, id: r.id})
+	}
 }
 
 func (e *Engine) moveAll() {
@@ -36,15 +75,34 @@
 	})
 }
 
+// onClosing takes nothing new from here on: who has asked for nothing is closed, who stands is moved. What is left of the
+// time is for the rest of lines that MOVE has to wait for.
+func (e *Engine) onClosing() {
+	e.stage = closing
+	e.requests.All(func(_ slot.ID, r *request) bool {
+		if r.phase == opening {
+			e.close(r)
+		}
+		return true
+	})
+	e.moveAll()
+}
+
 // end answers all that is still owed an answer. Connections that came up since Stop are moved, or left to
 // the gateway that takes them up.
 func (e *Engine) end() {
 	e.requests.All(func(_ slot.ID, r *request) bool {
-		if r.phase == waiting {
-			if r.link != nil {
-				r.link.Abandon()
+		switch r.phase {
+		case opening:
+			e.close(r)
+		case waiting:
+			if r.link == nil || r.link.Abandon() {
+				e.fail(r)
+			} else if !e.opts.Pass { // it is up; word of that is on its way
+				r.client.Move()
 			}
-			e.fail(r)
+		case leaving:
+			r.client.Close()
 		}
 		return true
 	})
@@ -52,7 +110,7 @@
 		e.moveAll()
 	}
 	e.logStats()
-	e.ended = true
+	e.stage = ended
 }
 
 func (e *Engine) logStats() {
--- a/internal/line/front/conn.go
+++ b/internal/line/front/conn.go
@@ -15,7 +15,7 @@
 
 const (
 	opening  phase = iota // no opening line yet
-	waiting               // for its server
+	waiting               // for its server, or for the engine
 	relaying              // its lines go to the server
 	over
 )
@@ -41,7 +41,7 @@
 // OnOpen implements reactor.Handler.
 func (c *Conn) OnOpen(rc *reactor.Conn, _ error) {
 	c.conn = rc
-	c.front.engine.Post(engine.Accepted{Client: c})
+	c.front.engine.Post(engine.Accepted{Client: c, Done: c.front.listener.Done})
 }
 
 // Slot implements engine.Client.
@@ -159,13 +159,35 @@
 // Fail implements engine.Client.
 func (c *Conn) Fail() { c.final([]byte(codec.Err)) }
 
-// Close implements engine.Client.
+// Close implements engine.Client. Of one that rests an opening line may be on its way, here or to the engine: BUSY answers
+// it, and is nothing to a client that has asked for nothing. One that stands was to be sent MOVE, behind a line that has
+// not ended.
 func (c *Conn) Close() {
-	if c.finish() {
-		c.conn.Close()
+	c.mu.Lock()
+	at := c.phase
+	c.mu.Unlock()
+	switch at {
+	case opening, waiting:
+		c.Refuse(0)
+		return
+	case over:
+		return
 	}
-	if c.link != nil { // it had been sent MOVE for a line that never ended
+	c.conn.Do(func() { // behind a MOVE that is only just asked for
+		if c.finish() {
+			c.conn.Close()
+		}
 		c.link.End(false)
+	})
+}
+
+// Orphan answers a client whose engine has ended, and will not.
+func (c *Conn) Orphan() {
+	c.mu.Lock()
+	at := c.phase
+	c.mu.Unlock()
+	if at < relaying {
+		c.Refuse(0)
 	}
 }
 
--- a/internal/line/front/front.go
+++ b/internal/line/front/front.go
@@ -16,22 +16,28 @@
 // Front accepts clients on one address.
 type Front struct {
 	engine   Engine
+	conns    *reactor.Group
 	listener *reactor.Listener
+	shared   bool // other processes accept on the socket too
 }
 
+// unseenMost is how many connections may be accepted that the engine has not seen yet. The others wait in the kernel's queue,
+// where they take no descriptor from those whose requests are under way.
+const unseenMost = 16
+
 // Listen opens the address and takes connections from then on.
 func Listen(addr string, e Engine, g *reactor.Group) (*Front, error) {
-	f := &Front{engine: e}
+	f := &Front{engine: e, conns: g}
 	var err error
-	f.listener, err = g.Listen(addr, f.accept)
+	f.listener, err = g.Listen(addr, unseenMost, f.accept)
 	return f, err
 }
 
 // Take takes connections from a listening socket that was passed on and is shared; see reactor.Group.Take.
 func Take(fd int, addr string, e Engine, g *reactor.Group) (*Front, error) {
-	f := &Front{engine: e}
+	f := &Front{engine: e, conns: g, shared: true}
 	var err error
-	f.listener, err = g.Take(fd, addr, f.accept)
+	f.listener, err = g.Take(fd, addr, unseenMost, f.accept)
 	return f, err
 }
 
@@ -42,3 +48,18 @@
 
 // Close stops accepting.
 func (f *Front) Close() { f.listener.Close() }
+
+// Finish answers all whom the engine, which has ended, will not answer: those that it has not seen, and those that wait in
+// the kernel's queue, unless another process has them.
+func (f *Front) Finish() {
+	if f.shared {
+		f.Close()
+	} else {
+		f.listener.Finish()
+	}
+	f.conns.Each(func(h reactor.Handler) {
+		if c, ok := h.(*Conn); ok {
+			c.Orphan()
+		}
+	})
+}
--- a/internal/reactor/reactor.go
+++ b/internal/reactor/reactor.go
@@ -210,6 +210,19 @@
 	}
 }
 
+// Each has every connection's loop show its handler to f soon, once its OnOpen has been called.
+func (g *Group) Each(f func(Handler)) {
+	for _, l := range g.loops {
+		l.post(func() {
+			for _, s := range l.sources() {
+				if c, ok := s.(*Conn); ok {
+					f(c.handler)
+				}
+			}
+		})
+	}
+}
+
 // settled looks behind all that was posted before.
 func (g *Group) settled() bool {
 	for _, l := range g.loops {
@@ -364,15 +377,19 @@
 	fd     int
 	addr   string
 	accept func() Handler
+	most   int // connections that may be accepted and not Done; 0: no bound
 
 	mu     sync.Mutex
 	slot   int32
 	gen    int32
+	undone int
+	full   bool // nothing is accepted until some are Done
 	closed bool
 }
 
-// Listen opens an address. Each connection that comes is given a handler by accept.
-func (g *Group) Listen(addr string, accept func() Handler) (*Listener, error) {
+// Listen opens an address. Each connection that comes is given a handler by accept. With most above 0, so many are accepted
+// at the most before Done is called for one of them; the others wait in the kernel's queue.
+func (g *Group) Listen(addr string, most int, accept func() Handler) (*Listener, error) {
 	nl, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
@@ -388,7 +405,7 @@
 		return nil, err
 	}
 	unix.SetNonblock(fd, true) // Fd has made it wait
-	l, err := g.Take(fd, nl.Addr().String(), accept)
+	l, err := g.Take(fd, nl.Addr().String(), most, accept)
 	if err != nil {
 		unix.Close(fd)
 	}
@@ -397,8 +414,8 @@
 
 // Take has a listening socket that does not wait, and that other processes may accept from too: a wakeup whose connection
 // another took brings nothing. The listener closes this descriptor alone.
-func (g *Group) Take(fd int, addr string, accept func() Handler) (*Listener, error) {
-	l := &Listener{group: g, loop: g.loops[0], fd: fd, addr: addr, accept: accept}
+func (g *Group) Take(fd int, addr string, most int, accept func() Handler) (*Listener, error) {
+	l := &Listener{group: g, loop: g.loops[0], fd: fd, addr: addr, accept: accept, most: most}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var err error
@@ -425,43 +442,83 @@
 func (l *Listener) ready(uint32) {
 	for range acceptsMost {
 		l.mu.Lock()
-		if l.closed {
+		if l.closed || l.full {
 			l.mu.Unlock()
 			return
 		}
-		fd, _, err := unix.Accept4(l.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
-		if err == unix.EMFILE || err == unix.ENFILE || err == unix.ENOBUFS || err == unix.ENOMEM {
+		c, err := l.take()
+		switch err {
+		case nil:
+			l.undone++
+			if l.full = l.most > 0 && l.undone >= l.most; l.full {
+				l.watch(0)
+			}
+		case unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM:
 			l.rest()
 		}
 		l.mu.Unlock()
+		switch {
+		case err == unix.ECONNABORTED || err == unix.EINTR:
+		case err != nil:
+			return
+		case c.loop == l.loop:
+			c.begin()
+		default:
+			c.loop.post(c.begin)
+		}
+	}
+}
+
+// take accepts one connection.
+func (l *Listener) take() (*Conn, error) {
+	fd, _, err := unix.Accept4(l.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+	if err != nil {
+		return nil, err
+	}
+	unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+	return &Conn{loop: l.group.pick(), fd: fd, handler: l.accept(), state: standing, want: unix.EPOLLIN | unix.EPOLLRDHUP}, nil
+}
+
+// Done says that one more of the accepted connections is dealt with; see Listen.
+func (l *Listener) Done() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.undone--
+	if l.full && l.undone <= l.most/2 && !l.closed {
+		l.full = false
+		l.watch(unix.EPOLLIN)
+	}
+}
+
+// Finish takes all that waits in the kernel's queue, then ends the accepting.
+func (l *Listener) Finish() {
+	l.mu.Lock()
+	for !l.closed {
+		c, err := l.take()
 		if err == unix.ECONNABORTED || err == unix.EINTR {
 			continue
 		}
 		if err != nil {
-			return
-		}
-		unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
-		lp := l.group.pick()
-		c := &Conn{loop: lp, fd: fd, handler: l.accept(), state: standing, want: unix.EPOLLIN | unix.EPOLLRDHUP}
-		if lp == l.loop {
-			c.begin()
-		} else {
-			lp.post(c.begin)
+			break
 		}
+		c.loop.post(c.begin)
 	}
+	l.mu.Unlock()
+	l.Close()
+}
+
+func (l *Listener) watch(events uint32) {
+	unix.EpollCtl(l.loop.epoll, unix.EPOLL_CTL_MOD, l.fd, &unix.EpollEvent{Events: events, Fd: l.slot, Pad: l.gen})
 }
 
 // rest stops the accepting for a moment: while no descriptor is free every look would fail at once.
 func (l *Listener) rest() {
-	mod := func(events uint32) {
-		unix.EpollCtl(l.loop.epoll, unix.EPOLL_CTL_MOD, l.fd, &unix.EpollEvent{Events: events, Fd: l.slot, Pad: l.gen})
-	}
-	mod(0)
+	l.watch(0)
 	time.AfterFunc(acceptPause, func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		if !l.closed {
-			mod(unix.EPOLLIN)
+		if !l.closed && !l.full {
+			l.watch(unix.EPOLLIN)
 		}
 	})
 }
--- a/rules/api.go
+++ b/rules/api.go
@@ -174,6 +174,9 @@
 	// Returned says that a server that was out by hand may serve again: what was held against it is void.
 	Returned struct{ Server ServerID }
 
+	// Stop says that the program ends: each request that waits has to have its final answer by then.
+	Stop struct{ By time.Duration }
+
 	// Timer answers a Wake.
 	Timer struct{ Ref int64 }
 )
@@ -189,6 +192,7 @@
 func (Outcome) event()      {}
 func (Expired) event()      {}
 func (Returned) event()     {}
+func (Stop) event()         {}
 func (Timer) event()        {}
 
 // Result is how an attempt ended.
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -116,6 +116,8 @@
 		}
 	case Shed:
 		b.shed = ev.Level
+	case Stop:
+		b.hurry(ev.By)
 	case Outcome:
 		b.onOutcome(ev)
 	case Expired:
@@ -333,6 +335,14 @@
 	return retrySpan, retryFree, retryShare
 }
 
+// hurry gives no request that waits longer than until the program's end.
+func (b *Balancer) hurry(by time.Duration) {
+	for _, r := range b.requests {
+		r.deadline, r.heldUntil = min(r.deadline, by), min(r.heldUntil, by-answerMargin)
+	}
+	b.act(Wake{After: max(by-answerMargin-b.now, 0), Ref: refOnce})
+}
+
 // holdOrAnswer disposes of a request that no server may take now. Only the first list is waited for: what
 // else keeps a request out lasts longer than a client should wait for word of it.
 func (b *Balancer) holdOrAnswer(r *request) {
