Lead the lookup table to a server's new record after its eviction and return

Callers saw a fleet without one of its servers: a server that was removed, forgotten after ten minutes and listed again got nothing from a gateway that had placed nothing in between, until ids or weights of the ready servers changed.

Cause: Balancer.refreshTable compared ids and weights with those of the present table and, as they were equal, kept the table's records too, among them that of the forgotten server, which stays removed. Past tables, by which mid-flow requests are placed, held records in the same way. Ruled out by the record's fields: warm-up, ejection, the list (the new record is ready).

Change: the table's records are taken from the list at each refresh; past tables hold ids and look the record up. The figure edge_proxy.unreachable counts ready servers that the table does not lead to.

Failed before: both new tests, 0 of 300 requests after the return with removal binding and advisory, unreachable 1; pass now.

--- a/balancer/endpoints_test.go
+++ b/balancer/endpoints_test.go
@@ -315,3 +315,64 @@
 	}
 	return sends
 }
+
+// Guards against a table that leads to the record of an evicted server even after that server has returned,
+// so that it gets nothing.
+func TestReturnedServerIsUsedAfterItsEviction(t *testing.T) {
+	const requests = 300
+	for _, c := range []struct {
+		name     string
+		settings Settings
+	}{{"removal binds", testSettings()}, {"removal is advisory", advisorySettings()}} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t, c.settings, 3)
+			const returned ServerID = 101
+			if before := h.countSentTo(returned, requests); before == 0 {
+				t.Fatal("not sent to at first")
+			}
+			h.listDelta(Server{ID: returned, State: Removed})
+			h.advance(40 * time.Minute)
+			h.listComplete(testServers(3)...)
+			if after := h.countSentTo(returned, requests); after < requests/6 {
+				t.Errorf("after its return it gets %d of %d requests, its share is a third", after, requests)
+			}
+			if n := h.balancer.UnreachableServers(); n > 0 {
+				t.Errorf("%d ready servers without an entry in the table", n)
+			}
+		})
+	}
+}
+
+// Guards against the same in a past table, by which mid-flow requests are sent.
+func TestPastTableLeadsToServerThatReturnedAfterItsEviction(t *testing.T) {
+	h := newHarness(t, testSettings(), 3)
+	const returned ServerID = 101
+	group := "g"
+	for i := 0; h.tableEntry(group) != returned; i++ {
+		group = fmt.Sprint("g", i)
+	}
+	h.listDelta(Server{ID: returned, State: Removed})
+	h.advance(40 * time.Minute)
+	back := append(testServers(3), Server{ID: 900, Capacity: 1})
+	back[1].Started = -time.Hour
+	h.listComplete(back...)
+	h.request(idempotentClass, "other") // the table from before the removal becomes a past table
+	h.handle(Request{ID: 500, Class: idempotentClass, Group: group, MidFlow: true, Timeout: sec})
+	if got := h.onlySend().Server; got != returned {
+		t.Errorf("sent to %d, not to its previous entry %d", got, returned)
+	}
+}
+
+// countSentTo has requests of groups of their own come in, answers them, and counts those sent to a server.
+func (h *harness) countSentTo(server ServerID, requests int) (count int) {
+	h.t.Helper()
+	for range requests {
+		h.request(idempotentClass, fmt.Sprint("of its own ", h.lastID))
+		sent := h.onlySend()
+		if sent.Server == server {
+			count++
+		}
+		h.handle(AttemptEnded{ID: sent.ID, Server: sent.Server, Result: OK, Answered: true})
+	}
+	return count
+}
--- a/balancer/lookup.go
+++ b/balancer/lookup.go
@@ -19,13 +19,19 @@
 	groupPriorWeight = 2.0
 )
 
-// pastTable is a table that was replaced, which mid-flow requests may still have been placed by.
+// pastTable is a table that was replaced, which mid-flow requests may still have been placed by. It holds the
+// ids of its servers, since a server may be evicted, and listed again, while the table is valid.
 type pastTable struct {
 	table     table
-	servers   []*server
+	servers   []ServerID
 	expiresAt time.Duration
 }
 
+// pastServer returns the server where the ordinary placement of a request was; nil: it was evicted since.
+func (b *Balancer) pastServer(p pastTable, r *request) *server {
+	return b.servers[p.servers[p.table.at(r.placementHash, 0)]]
+}
+
 // refreshTable builds the table anew if the list has changed since, and keeps the one before for mid-flow
 // requests. It is called by the next placement and not with the list, since most changes of a list come in a
 // run and a gateway among many places few connections between them.
@@ -45,7 +51,8 @@
 		}
 	}
 	if slices.Equal(weights, b.tableWeights) {
-		return // nothing that the table depends on has changed
+		b.tableServers = servers // a server that was evicted and listed again has another record
+		return                   // nothing that the table's entries depend on has changed
 	}
 	b.keepPastTable()
 	b.table, b.tableWeights, b.tableServers = buildTable(weights), weights, servers
@@ -56,7 +63,11 @@
 	if b.table == nil || b.settings.FlowRetention == 0 {
 		return
 	}
-	b.pastTables = append(b.pastTables, pastTable{b.table, b.tableServers, b.now + b.settings.FlowRetention})
+	ids := make([]ServerID, len(b.tableWeights))
+	for i, s := range b.tableWeights {
+		ids[i] = s.id
+	}
+	b.pastTables = append(b.pastTables, pastTable{b.table, ids, b.now + b.settings.FlowRetention})
 	if n := len(b.pastTables) - maxPastTables; n > 0 {
 		b.pastTables = slices.Delete(b.pastTables, 0, n)
 	}
@@ -85,3 +96,27 @@
 
 // groupShard is the lookup that is the ordinary placement of a request: its client's shard of the group.
 func (b *Balancer) groupShard(r *request) int { return int(r.clientFraction(0) * b.groupShards(r)) }
+
+// UnreachableServers is the number of ready servers without an entry in the lookup table, to which no request
+// is sent by its key. It is 0 while the table is to be built anew for the next request.
+func (b *Balancer) UnreachableServers() int {
+	if b.tableIsStale {
+		return 0
+	}
+	hasEntry := make([]bool, len(b.tableServers))
+	for _, i := range b.table {
+		hasEntry[i] = true
+	}
+	unreachable := 0
+	for _, s := range b.sortedServers {
+		if s.State == Ready {
+			unreachable++
+		}
+	}
+	for i, s := range b.tableServers {
+		if hasEntry[i] && s.State == Ready && b.servers[s.ID] == s {
+			unreachable--
+		}
+	}
+	return unreachable
+}
--- a/balancer/placement.go
+++ b/balancer/placement.go
@@ -62,7 +62,7 @@
 		if b.now > p.expiresAt {
 			continue
 		}
-		if s := p.servers[p.table.at(r.placementHash, 0)]; b.isWarm(s) && b.acceptsMidFlow(s) {
+		if s := b.pastServer(p, r); s != nil && b.isWarm(s) && b.acceptsMidFlow(s) {
 			return s
 		}
 	}
--- a/internal/engine/statistics.go
+++ b/internal/engine/statistics.go
@@ -66,7 +66,8 @@
 	e.options.Metrics.Outstanding.Store(int64(outstanding))
 }
 
-// updateEndpointGauges reports how many servers are listed, and how many of these are in maintenance or ejected.
+// updateEndpointGauges reports how many servers are listed, how many of these are in maintenance or ejected, and how
+// many ready ones the lookup table does not lead to.
 func (e *Engine) updateEndpointGauges() {
 	avoided := 0
 	for id, s := range e.endpoints.byID {
@@ -76,4 +77,5 @@
 	}
 	e.options.Metrics.Discovered.Store(int64(len(e.endpoints.byID)))
 	e.options.Metrics.Ejected.Store(int64(avoided))
+	e.options.Metrics.Unreachable.Store(int64(e.balancer.UnreachableServers()))
 }
--- a/internal/metrics/format_test.go
+++ b/internal/metrics/format_test.go
@@ -36,6 +36,7 @@
 		r.Outstanding.Store(-5)
 		r.Discovered.Store(6)
 		r.Ejected.Store(7)
+		r.Unreachable.Store(8)
 		fmt.Fprintf(&got, "# %s: counted\n%s", c.name, r.AppendStatsd([]byte("before\n")))
 	}
 	fmt.Fprintf(&got, "# prefix\n%s\n", Prefix)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -27,6 +27,7 @@
 	Outstanding atomic.Int64 // admitted requests and established connections that have not ended
 	Discovered  atomic.Int64 // servers in the endpoint list
 	Ejected     atomic.Int64 // of these, those in maintenance or ejected as outliers
+	Unreachable atomic.Int64 // of these, ready servers without an entry in the lookup table
 }
 
 type classMetrics struct {
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -14,6 +14,7 @@
 	r.Forwards.Add(3)
 	r.Discovered.Store(2)
 	r.Ejected.Store(1)
+	r.Unreachable.Store(4)
 	const want = "edge_proxy.succeeded.plan-diario:812|c\n" +
 		"edge_proxy.declined.plan-diario:0|c\n" +
 		"edge_proxy.aborted.plan-diario:0|c\n" +
@@ -23,7 +24,8 @@
 		"edge_proxy.forwards:3|c\n" +
 		"edge_proxy.outstanding:14|g\n" +
 		"edge_proxy.discovered:2|g\n" +
-		"edge_proxy.ejected:1|g\n"
+		"edge_proxy.ejected:1|g\n" +
+		"edge_proxy.unreachable:4|g\n"
 	if diff := cmp.Diff(want, string(r.AppendStatsd(nil))); diff != "" {
 		t.Errorf("page differs (-want +got):\n%s", diff)
 	}
--- a/internal/metrics/statsd.go
+++ b/internal/metrics/statsd.go
@@ -23,6 +23,7 @@
 	b = appendMetric(b, "outstanding", "", r.Outstanding.Load(), statsdGauge)
 	b = appendMetric(b, "discovered", "", r.Discovered.Load(), statsdGauge)
 	b = appendMetric(b, "ejected", "", r.Ejected.Load(), statsdGauge)
+	b = appendMetric(b, "unreachable", "", r.Unreachable.Load(), statsdGauge)
 	return b
 }
 
