Have a server's announcement of its drain name the attempt that it was made to

Callers saw a smaller fleet: where a node announced its drain to an attempt that had failed meanwhile, the server of the request's next attempt was taken for draining until its next start, and got nothing new from that gateway.

Cause: engine.ServerDraining carried the request alone, and onServerDraining went by the request's present server. Ruled out: a handle that was given anew, since handles have generations and the request is the same.

Change: the event carries the attempt's number; it counts until the next attempt has begun.

Loads and delays of messages carry no number either, but come from established connections, whose end ends the request.

--- a/internal/engine/digest_clients_test.go
+++ b/internal/engine/digest_clients_test.go
@@ -168,7 +168,9 @@
 }
 
 func (s *simulation) serverLeaving() {
-	s.withEstablished(func(a *attempt) { s.handle("leaving", engine.ServerDraining{RequestID: a.sent.RequestID}) })
+	s.withEstablished(func(a *attempt) {
+		s.handle("leaving", engine.ServerDraining{RequestID: a.sent.RequestID, Number: a.sent.Number})
+	})
 }
 
 func (s *simulation) load() {
--- a/internal/engine/endpoint.go
+++ b/internal/engine/endpoint.go
@@ -152,10 +152,11 @@
 	update.draining = append(update.draining, id)
 }
 
-// onServerDraining takes a server's own announcement that it drains. For the balancer that is as good as the list.
+// onServerDraining takes a server's own announcement that it drains. For the balancer that is as good as the list. One
+// that arrives after its attempt counts until the request's next attempt has begun: r.server is another one then.
 func (e *Engine) onServerDraining(ev ServerDraining) {
 	r := e.requests.get(ev.RequestID)
-	if r == nil {
+	if r == nil || r.attemptNumber() != ev.Number {
 		return
 	}
 	s := e.endpoints.byID[r.server]
--- a/internal/engine/endpoint_test.go
+++ b/internal/engine/endpoint_test.go
@@ -91,3 +91,24 @@
 		t.Error("not ready with a cached list")
 	}
 }
+
+// Guards against a server that is taken for draining since another one announced its drain to an earlier attempt of
+// the same request.
+func TestDrainAnnouncedToAnEndedAttemptLeavesTheNextServer(t *testing.T) {
+	w := newWorld(t, 2, nil)
+	w.arrive(w.client("x"), Request{Key: "k"})
+	ended := w.attempt.sent
+	w.end(w.attempt, balancer.Rejected)
+	next := w.attempt.sent
+	if next.Server == ended.Server {
+		t.Fatal("both attempts are at one server")
+	}
+	w.handle(ServerDraining{RequestID: ended.RequestID, Number: ended.Number})
+	if s := w.engine.endpoints.byID[next.Server]; s.state != balancer.Ready {
+		t.Error("the server of the next attempt is taken for draining")
+	}
+	w.handle(ServerDraining{RequestID: next.RequestID, Number: next.Number})
+	if s := w.engine.endpoints.byID[next.Server]; s.state != balancer.Draining {
+		t.Error("the announcement to the present attempt has no effect")
+	}
+}
--- a/internal/engine/events.go
+++ b/internal/engine/events.go
@@ -61,9 +61,12 @@
 		RequestID slotmap.Handle
 		Delay     time.Duration
 	}
-	// ServerDraining says that the server of an established connection has announced that it drains, which the endpoint
-	// list may not say yet.
-	ServerDraining struct{ RequestID slotmap.Handle }
+	// ServerDraining says that the server of an attempt has announced that it drains, which the endpoint list may not say
+	// yet.
+	ServerDraining struct {
+		RequestID slotmap.Handle
+		Number    int
+	}
 )
 
 // Events of servers.
--- a/internal/nats/backend/node_frames.go
+++ b/internal/nats/backend/node_frames.go
@@ -89,7 +89,9 @@
 	case isFirst:
 		n.sendHandshake()
 	case info.LameDuck && n.client != nil:
-		n.backend.events.Post(engine.ServerDraining{RequestID: n.attempt.RequestID})
+		n.backend.events.Post(engine.ServerDraining{
+			RequestID: n.attempt.RequestID, Number: n.attempt.Number,
+		})
 	}
 }
 
