Log how many connections were notified of a drain

On call, a session that was never notified of its server's drain can't be told from one that was notified and did not move.

Change: the statistics line has drains_notified, the connections whose frontend was notified since the start.

--- a/internal/engine/endpoint.go
+++ b/internal/engine/endpoint.go
@@ -189,6 +189,7 @@
 			return
 		}
 		if o, ok := r.client.(DrainObserver); ok {
+			e.statistics.drainsNotified++
 			o.ServerDraining()
 		}
 	})
--- a/internal/engine/statistics.go
+++ b/internal/engine/statistics.go
@@ -12,15 +12,17 @@
 
 // statistics are the counts since the start that are logged regularly.
 type statistics struct {
-	admitted     int // requests
-	established  int // connections
-	rejected     int // clients and requests that may be retried
-	failed       int // requests, with a final answer that promises nothing
-	invalid      int // requests that can't be served, and clients that violated their protocol
-	idleClosed   int // clients without a request
-	migrated     int // clients
-	disconnected int // clients with a request
-	ended        int // connections that ended at their server, and requests that were answered
+	admitted    int // requests
+	established int // connections
+	rejected    int // clients and requests that may be retried
+	failed      int // requests, with a final answer that promises nothing
+	invalid     int // requests that can't be served, and clients that violated their protocol
+	idleClosed  int // clients without a request
+	migrated    int // clients
+	// drainsNotified are connections whose frontend was notified that their server drains.
+	drainsNotified int
+	disconnected   int // clients with a request
+	ended          int // connections that ended at their server, and requests that were answered
 
 	unlistedClass metrics.ClassCounters // of requests whose class is not configured; not reported
 	hasWarned     bool                  // that no endpoint list has been received, in this interval
@@ -39,7 +41,7 @@
 		"servers", len(e.endpoints.byID), "timers", e.timers.Len(),
 		"admitted", s.admitted, "established", s.established,
 		"rejected", s.rejected, "failed", s.failed, "invalid", s.invalid, "idle_closed", s.idleClosed,
-		"migrated", s.migrated, "disconnected", s.disconnected, "ended", s.ended)
+		"migrated", s.migrated, "drains_notified", s.drainsNotified, "disconnected", s.disconnected, "ended", s.ended)
 }
 
 // warnWithoutEndpoints warns that requests can't be served yet.
