Notify a client of its server's drain that began while it was being connected

Callers saw a NATS session stay at a node that drains, until the node cut it off: the drain, the removal or the maintenance mode had come between the dial and the event that the session was established, also of a session that was migrating there.

Cause: notifyDraining passes over what is not established, and onAttemptEstablished did not look at the server's state. Ruled out: a lost list (the gateway had polled again with its version); a notification lost in the session (kept until the switch).

Change: a connection established at a server that is not ready, or not listed, is notified at once. Each connection is notified once, whatever follows.

--- a/gateway/nats_fleet_test.go
+++ b/gateway/nats_fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net"
 	"os"
 	"strconv"
 	"sync"
@@ -144,6 +145,32 @@
 	return 0
 }
 
+// sessions is the number of connections of sessions at all nodes.
+func (f *fleet) sessions() (count int) {
+	for _, n := range f.nodes {
+		count += n.ConnectionCount()
+	}
+	return count
+}
+
+func (f *fleet) eachNode(do func(*fakeserver.NATSNode)) {
+	for _, n := range f.nodes {
+		do(n)
+	}
+}
+
+// sendConnect has a client connect and send its CONNECT, without waiting for an answer.
+func (f *fleet) sendConnect() {
+	f.t.Helper()
+	c, err := net.Dial("tcp", f.addr)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	e := newTestConn(f.t, c)
+	e.line() // INFO
+	e.send("CONNECT {}\r\nSUB a 1\r\nPING\r\n")
+}
+
 func eventually(t *testing.T, what string, ok func() bool) {
 	t.Helper()
 	for until := time.Now().Add(testTimeout); !ok(); time.Sleep(2 * time.Millisecond) {
--- a/gateway/nats_migration_test.go
+++ b/gateway/nats_migration_test.go
@@ -47,6 +47,56 @@
 	}
 }
 
+// Guards against a session that stays at a node which began to drain, or was removed, while the session was set up there:
+// the drain comes between the handshake and the node's answer to it. Likewise for a session that migrates at that moment.
+func TestNATSDrainDuringTheSetUpMovesTheSession(t *testing.T) {
+	for _, state := range []string{fakeserver.StateTerminating, fakeserver.StateTerminated} {
+		for _, announce := range []bool{false, true} {
+			for _, migrating := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s, announced %v, migrating %v", state, announce, migrating), func(t *testing.T) {
+					f := newFleet(t, 3, false, "")
+					f.connect().Close()
+					eventually(t, "the first session is gone", func() bool { return f.sessions() == 0 })
+					isDrained := make([]bool, len(f.nodes))
+					drainHolder := func() {
+						for i, n := range f.nodes {
+							if !isDrained[i] && n.ConnectionCount() > 0 {
+								isDrained[i] = true
+								n.Drain(announce)
+								entry := f.entry(i, state)
+								f.catalog.SetEndpoint(entry)
+								eventually(t, "the gateway has the list", f.catalog.IsListKnown)
+								return
+							}
+						}
+						t.Fatal("no node holds the session")
+					}
+					if migrating {
+						f.connect()
+						f.eachNode((*fakeserver.NATSNode).IgnorePings)
+						drainHolder()
+						eventually(t, "the next node has the handshake", func() bool { return f.sessions() == 2 })
+					} else {
+						f.eachNode((*fakeserver.NATSNode).IgnorePings)
+						f.sendConnect()
+						eventually(t, "a node has the handshake", func() bool { return f.sessions() == 1 })
+					}
+					drainHolder()
+					f.eachNode((*fakeserver.NATSNode).AnswerPings)
+					eventually(t, "the session is at a node that does not drain", func() bool {
+						for i, n := range f.nodes {
+							if isDrained[i] && n.ConnectionCount() > 0 {
+								return false
+							}
+						}
+						return f.sessions() == 1
+					})
+				})
+			}
+		}
+	}
+}
+
 // A node that is killed or hangs, or dies inside a message, costs what it had not handed over, and its clients nothing else.
 func TestNATSFailuresMoveTheSession(t *testing.T) {
 	for name, fail := range map[string]func(*fakeserver.NATSNode){
--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -90,8 +90,12 @@
 	if !r.isSticky {
 		e.notify(balancer.AttemptEstablished{ID: r.id(), Attempt: ev.Number, Server: r.server, Elapsed: ev.Elapsed})
 	}
-	if e.shutdown.stage == closing && r.phase == established { // the rest has been migrated already
+	switch {
+	case r.phase != established: // the balancer has migrated it
+	case e.shutdown.stage == closing: // the rest has been migrated already
 		e.migrate(r, balancer.Cancelled)
+	default:
+		e.notifyIfServerDrains(r)
 	}
 }
 
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -31,8 +31,8 @@
 	Migrate() time.Duration
 }
 
-// DrainObserver is a Client that its frontend can take to another server without the client's help. It is notified as
-// soon as the server of its established connection drains or is removed.
+// DrainObserver is a Client that its frontend can take to another server without the client's help. It is notified once
+// for a connection, as soon as that is established and its server drains or is removed, whichever comes first.
 type DrainObserver interface{ ServerDraining() }
 
 func (e *Engine) onClientConnected(ev ClientConnected) {
--- a/internal/engine/endpoint.go
+++ b/internal/engine/endpoint.go
@@ -178,23 +178,38 @@
 	}
 }
 
-// notifyDraining notifies the clients of servers that drain. Clients whose frontend can't migrate them are asked to
-// leave by the server itself.
+// notifyDraining notifies the clients that are connected to servers that drain.
 func (e *Engine) notifyDraining(servers []balancer.ServerID) {
 	if len(servers) == 0 {
 		return
 	}
 	e.requests.each(func(r *request) {
-		if r.phase != established || !slices.Contains(servers, r.server) {
-			return
-		}
-		if o, ok := r.client.(DrainObserver); ok {
-			e.statistics.drainsNotified++
-			o.ServerDraining()
+		if slices.Contains(servers, r.server) {
+			e.notifyClientOfDrain(r)
 		}
 	})
 }
 
+// notifyIfServerDrains notifies the client of a connection that was established after its server began to drain, or was
+// removed.
+func (e *Engine) notifyIfServerDrains(r *request) {
+	if s := e.endpoints.byID[r.server]; s == nil || s.state != balancer.Ready {
+		e.notifyClientOfDrain(r)
+	}
+}
+
+// notifyClientOfDrain notifies a client that its server drains, once. Clients whose frontend can't migrate them are asked
+// to leave by the server itself, and those that are not established are notified once they are.
+func (e *Engine) notifyClientOfDrain(r *request) {
+	observer, ok := r.client.(DrainObserver)
+	if !ok || r.phase != established || r.isDrainNotified {
+		return
+	}
+	r.isDrainNotified = true
+	e.statistics.drainsNotified++
+	observer.ServerDraining()
+}
+
 // hasEstablished reports whether a connection to a server is established.
 func (e *Engine) hasEstablished(id balancer.ServerID) (found bool) {
 	e.requests.each(func(r *request) {
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -53,6 +53,8 @@
 	server       balancer.ServerID
 	sentAt       time.Duration
 	attemptTimer requestTimer
+
+	isDrainNotified bool // its client was notified that the server of its connection drains
 }
 
 func (r *request) id() balancer.RequestID { return balancer.RequestID(r.handle) }
--- a/internal/engine/world_test.go
+++ b/internal/engine/world_test.go
@@ -201,3 +201,13 @@
 		w.t.Errorf("%d requests are held, want %d", got, want)
 	}
 }
+
+// countCalls counts the calls that are equal to one.
+func (w *world) countCalls(call string) (count int) {
+	for _, c := range w.calls {
+		if c == call {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/fakeserver/catalog.go
+++ b/internal/fakeserver/catalog.go
@@ -47,6 +47,7 @@
 	changedAt      []int64       // the version of each endpoint's last change
 	changed        chan struct{} // closed at the next change
 	lastWatchStart time.Time
+	watchedVersion int64         // that the caller of the latest watch holds
 	stalled        chan struct{} // closed when the watches that are open now stall
 }
 
@@ -112,6 +113,13 @@
 	return c.lastWatchStart
 }
 
+// IsListKnown reports whether the latest watch is by a caller that holds the present list.
+func (c *Catalog) IsListKnown() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.watchedVersion == c.version
+}
+
 // memberList is the answer to a call.
 type memberList struct {
 	Version int64      `json:"version"`
@@ -143,7 +151,7 @@
 	if !full && len(list.Servers) == 0 {
 		waitMS, _ := strconv.ParseInt(query.Get("wait_ms"), 10, 64) // without a valid time it does not wait
 		timeout := min(time.Duration(waitMS)*time.Millisecond, maxWatchDuration)
-		if !c.awaitChange(r, events, timeout) {
+		if !c.awaitChange(r, events, after, timeout) {
 			return
 		}
 		list, _ = c.members(after, false)
@@ -152,10 +160,12 @@
 	_ = json.NewEncoder(w).Encode(list) // fails only when the caller is gone
 }
 
-// awaitChange blocks until the list changes or the timeout passes. It reports whether the call is to be answered.
-func (c *Catalog) awaitChange(r *http.Request, w watch, timeout time.Duration) bool {
+// awaitChange blocks until the list changes or the timeout passes, for a caller that holds the list of a version. It
+// reports whether the call is to be answered.
+func (c *Catalog) awaitChange(r *http.Request, w watch, held int64, timeout time.Duration) bool {
 	c.mu.Lock()
 	c.lastWatchStart = time.Now()
+	c.watchedVersion = held
 	c.mu.Unlock()
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
--- a/internal/fakeserver/natsconn.go
+++ b/internal/fakeserver/natsconn.go
@@ -26,6 +26,7 @@
 	echo          bool
 	subscriptions map[string]*natsSubscription // by SID
 	closed        bool
+	ignoredPings  int
 
 	queueChanged sync.Cond
 	queue        []outgoing
@@ -215,7 +216,9 @@
 	case codec.Connect:
 		c.connect(f)
 	case codec.Ping:
-		if !c.node.ignoresPings {
+		if c.node.ignoresPings {
+			c.ignoredPings++
+		} else {
 			c.push([]byte(codec.PongFrame), nil)
 		}
 	case codec.Pub, codec.HPub:
--- a/internal/fakeserver/natsnode.go
+++ b/internal/fakeserver/natsnode.go
@@ -100,6 +100,17 @@
 	n.ignoresPings = true
 }
 
+// AnswerPings makes the node answer the PINGs that it has ignored, and all that follow.
+func (n *NATSNode) AnswerPings() {
+	n.cluster.mu.Lock()
+	defer n.cluster.mu.Unlock()
+	n.ignoresPings = false
+	for c := range n.conns {
+		c.push(bytes.Repeat([]byte(codec.PongFrame), c.ignoredPings), nil)
+		c.ignoredPings = 0
+	}
+}
+
 // Kill ends the node as a crash would: all connections are reset and new ones are refused. It does not wait for the
 // node's goroutines, as Close does.
 func (n *NATSNode) Kill() {
