Keep the descriptor limit at every moment, in bursts and in a shutdown

Callers saw requests fail that had a healthy server: where hundreds of clients came at once, the program held more descriptors than it may, and at the platform's limit it could dial no server.

Cause: lingering connections over the budget were closed by calls posted to their loops, which run between events, while up to 64 connections are accepted at one event. A shutdown accepted all of the kernel's queue before it closed the first of it. Ruled out: a leak (the count comes down again) and the engine's count of clients (it never passed its limit).

Change: a descriptor counts from when it is opened. Whoever opens one closes what is over the budget at once, the longest lingering first, then what is closing with bytes to write; where nothing is closing, nothing is accepted. A shutdown rejects each waiting client before it accepts the next. Figures: descriptors, connection_descriptors, closing_descriptors.

--- a/config/limits.go
+++ b/config/limits.go
@@ -9,14 +9,14 @@
 
 const (
 	minMemoryMB      = 16
-	ownSockets       = 48 // for the listener, discovery, epoll, logs and connections that are opening or closing
+	ownSockets       = 48 // for the listener, discovery, epoll, logs, and TransientSockets
 	adminSockets     = 20 // for operators: their listener, those who call and files that are written for them
 	minClientSockets = 16 // for clients and their servers
 )
 
-// TransientSockets is how many of the program's own descriptors closed connections may have that linger. As many again may
-// be accepted and not counted yet.
-const TransientSockets = 16
+// TransientSockets is how many of the program's own descriptors may have connections that are accepted and not admitted yet,
+// load polls, and connections that are closing.
+const TransientSockets = 28
 
 // Limits are what the program may use.
 type Limits struct {
--- a/gateway/descriptors_test.go
+++ b/gateway/descriptors_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -98,3 +99,68 @@
 		}
 	}
 }
+
+// sampleDescriptors counts the program's descriptors without a pause, until the function that it returns is called, which
+// returns the highest count.
+func (p *program) sampleDescriptors() (stop func() int) {
+	directory := fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid)
+	done, highest := make(chan struct{}), make(chan int)
+	go func() {
+		most := 0
+		for {
+			select {
+			case <-done:
+				highest <- most
+				return
+			default:
+			}
+			all, err := os.ReadDir(directory)
+			if err == nil { // else the program has ended
+				most = max(most, len(all))
+			}
+		}
+	}()
+	return func() int {
+		close(done)
+		return <-highest
+	}
+}
+
+// dialWhileStopped has clients connect while the program is off the processor.
+func (p *program) dialWhileStopped(clients int) {
+	p.t.Helper()
+	p.signal(syscall.SIGSTOP)
+	for i := range clients {
+		c := p.dial()
+		if i%2 == 0 {
+			c.send("OPEN 1 half a li")
+		}
+	}
+	p.signal(syscall.SIGCONT)
+}
+
+// Guards against descriptors over the limit, at which neither servers nor discovery can be dialed: hundreds of clients
+// connect while the program is off the processor, as on a busy machine, again and again, and amid its shutdown.
+func TestBurstsKeepTheDescriptorLimit(t *testing.T) {
+	const sockets, clients, bursts = 128, 300, 4
+	for _, mode := range []string{"pass", "proxy"} {
+		t.Run(mode, func(t *testing.T) {
+			p := startProgram(t, programConfig{mode: mode, sockets: sockets})
+			stop := p.sampleDescriptors()
+			for range bursts {
+				p.dialWhileStopped(clients)
+				client, server := p.open()
+				client.send("M 1\r\n")
+				server.expect("M 1\r\n")
+			}
+			p.stop()
+			p.dialWhileStopped(clients)
+			p.expectExit()
+			highest := stop()
+			t.Logf("%d descriptors were open at most, %d are allowed", highest, sockets)
+			if highest > sockets {
+				t.Error("descriptors over the limit")
+			}
+		})
+	}
+}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"sync"
 	"time"
 
@@ -19,6 +20,9 @@
 // after the engine's end at the earliest.
 const quiesceTimeout = 100 * time.Millisecond
 
+// descriptorDirectory lists the process's open descriptors, with one for reading it.
+const descriptorDirectory = "/proc/self/fd"
+
 // background owns the goroutines that serve the engine. They outlive the request for a shutdown, and end with stop.
 type background struct {
 	ctx    context.Context
@@ -58,7 +62,7 @@
 	if err := g.prepareInheritedSocket(); err != nil {
 		return err
 	}
-	closeAdmin, err := g.listenAdmin()
+	closeAdmin, err := g.listenAdmin(conns)
 	if err != nil {
 		return err
 	}
@@ -142,12 +146,15 @@
 }
 
 // listenAdmin starts the operators' HTTP server, if it is configured, and returns what stops it.
-func (g *Gateway) listenAdmin() (stop func(), err error) {
+func (g *Gateway) listenAdmin(conns *reactor.Group) (stop func(), err error) {
 	if g.config.Admin == "" {
 		return func() {}, nil
 	}
 	server, err := admin.Listen(g.config.Admin, admin.Options{
-		Ready: g.Ready, AppendMetrics: g.registry.AppendStatsd, SetMaintenance: g.maintenance.Set, Logger: g.logger,
+		Ready:          g.Ready,
+		AppendMetrics:  func(b []byte) []byte { return g.appendMetrics(b, conns) },
+		SetMaintenance: g.maintenance.Set,
+		Logger:         g.logger,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("admin_addr: listen %s: %w", g.config.Admin, err)
@@ -155,6 +162,17 @@
 	return func() { server.Close() }, nil
 }
 
+// appendMetrics appends the metrics page, with the descriptors as they are now.
+func (g *Gateway) appendMetrics(b []byte, conns *reactor.Group) []byte {
+	held, closing := conns.DescriptorCounts()
+	g.registry.ConnectionDescriptors.Store(int64(held))
+	g.registry.ClosingDescriptors.Store(int64(closing))
+	if open, err := os.ReadDir(descriptorDirectory); err == nil { // without it the gauge stays as it was
+		g.registry.Descriptors.Store(int64(len(open)))
+	}
+	return g.registry.AppendStatsd(b)
+}
+
 // listenNATS accepts NATS clients, if the operator file has them, and returns what stops that. Clients are asked to leave
 // once ctx is done.
 func (g *Gateway) listenNATS(ctx context.Context, conns *reactor.Group) (stop func(), err error) {
--- a/internal/lineproto/frontend/conn.go
+++ b/internal/lineproto/frontend/conn.go
@@ -43,6 +43,10 @@
 // OnOpen implements reactor.Handler.
 func (c *Conn) OnOpen(rc *reactor.Conn, _ error) {
 	c.conn = rc
+	if c.listener.stopped.Load() {
+		c.Reject(0)
+		return
+	}
 	c.listener.engine.Post(engine.ClientConnected{Client: c, Done: c.onSeen})
 }
 
--- a/internal/lineproto/frontend/listener.go
+++ b/internal/lineproto/frontend/listener.go
@@ -6,6 +6,8 @@
 package frontend
 
 import (
+	"sync/atomic"
+
 	"example.org/milletvane/internal/engine"
 	"example.org/milletvane/internal/reactor"
 )
@@ -22,6 +24,7 @@
 	conns    *reactor.Group
 	listener *reactor.Listener
 	shared   bool // other processes accept on the socket too
+	stopped  atomic.Bool
 }
 
 // maxUnseen is how many accepted connections may be unknown to the engine yet. Further ones wait in the kernel's accept
@@ -58,6 +61,7 @@
 // Shutdown rejects all clients that the engine, which has ended, will not answer: those that it has not seen, and those in
 // the kernel's accept queue unless another process accepts from it.
 func (l *Listener) Shutdown() {
+	l.stopped.Store(true)
 	if l.shared {
 		l.Close()
 	} else {
--- a/internal/metrics/format_test.go
+++ b/internal/metrics/format_test.go
@@ -37,6 +37,9 @@
 		r.Discovered.Store(6)
 		r.Ejected.Store(7)
 		r.Unreachable.Store(8)
+		r.Descriptors.Store(9)
+		r.ConnectionDescriptors.Store(10)
+		r.ClosingDescriptors.Store(11)
 		fmt.Fprintf(&got, "# %s: counted\n%s", c.name, r.AppendStatsd([]byte("before\n")))
 	}
 	fmt.Fprintf(&got, "# prefix\n%s\n", Prefix)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -28,6 +28,10 @@
 	Discovered  atomic.Int64 // servers in the endpoint list
 	Ejected     atomic.Int64 // of these, those in maintenance or ejected as outliers
 	Unreachable atomic.Int64 // of these, ready servers without an entry in the lookup table
+
+	Descriptors           atomic.Int64 // open in the process
+	ConnectionDescriptors atomic.Int64 // of these, of connections to clients and servers, load polls included
+	ClosingDescriptors    atomic.Int64 // of these, of connections that this side has ended
 }
 
 type classMetrics struct {
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -15,6 +15,9 @@
 	r.Discovered.Store(2)
 	r.Ejected.Store(1)
 	r.Unreachable.Store(4)
+	r.Descriptors.Store(31)
+	r.ConnectionDescriptors.Store(17)
+	r.ClosingDescriptors.Store(5)
 	const want = "edge_proxy.succeeded.plan-diario:812|c\n" +
 		"edge_proxy.declined.plan-diario:0|c\n" +
 		"edge_proxy.aborted.plan-diario:0|c\n" +
@@ -25,7 +28,10 @@
 		"edge_proxy.outstanding:14|g\n" +
 		"edge_proxy.discovered:2|g\n" +
 		"edge_proxy.ejected:1|g\n" +
-		"edge_proxy.unreachable:4|g\n"
+		"edge_proxy.unreachable:4|g\n" +
+		"edge_proxy.descriptors:31|g\n" +
+		"edge_proxy.connection_descriptors:17|g\n" +
+		"edge_proxy.closing_descriptors:5|g\n"
 	if diff := cmp.Diff(want, string(r.AppendStatsd(nil))); diff != "" {
 		t.Errorf("page differs (-want +got):\n%s", diff)
 	}
--- a/internal/reactor/close.go
+++ b/internal/reactor/close.go
@@ -25,6 +25,7 @@
 	case c.state > established:
 	case c.pending() > 0:
 		c.state = closing
+		c.leaving = c.loop.group.descriptors.leave(c, c.leaving, awaitsWriting)
 		c.rewatch()
 	default:
 		c.linger()
@@ -51,7 +52,7 @@
 	c.resumeSources()
 	c.watch(readEvents)
 	c.deadline = time.AfterFunc(lingerTimeout, func() { c.Abort(false) })
-	c.loop.group.linger(c)
+	c.leaving = c.loop.group.descriptors.leave(c, c.leaving, awaitsPeer)
 }
 
 // discard reads what arrives at a lingering connection, and closes it at the peer's end or after lingerBytes.
@@ -87,7 +88,6 @@
 	if c.listed {
 		c.listed = false
 		c.loop.remove(c.slot)
-		c.loop.group.release(c)
 	}
 	if c.fd >= 0 {
 		if reset {
@@ -95,6 +95,7 @@
 			_ = unix.SetsockoptLinger(c.fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
 		}
 		closeFD(c.fd)
+		c.loop.group.descriptors.release(c.leaving)
 	}
 	c.out, c.outWritten = nil, 0
 	c.resumeSources()
--- a/internal/reactor/close_test.go
+++ b/internal/reactor/close_test.go
@@ -11,9 +11,8 @@
 
 // heldDescriptors is the number of descriptors of the group's connections.
 func (g *Group) heldDescriptors() int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.held
+	held, _ := g.DescriptorCounts()
+	return held
 }
 
 // waitFor waits until a condition holds.
@@ -116,8 +115,8 @@
 	dial(t, addr)
 	await(t, conns)
 	waitFor(t, "descriptors released", func() bool { return g.heldDescriptors() == 3 })
-	if ins[0].Closed() || ins[1].leaving() || !ins[2].leaving() {
-		t.Errorf("established %v, first lingers %v, second lingers %v", !ins[0].Closed(), ins[1].leaving(), ins[2].leaving())
+	if ins[0].Closed() || ins[1].isLeaving() || !ins[2].isLeaving() {
+		t.Errorf("established %v, first lingers %v, second lingers %v", !ins[0].Closed(), ins[1].isLeaving(), ins[2].isLeaving())
 	}
 }
 
@@ -137,7 +136,7 @@
 		readErr <- errors.Join(err, c.Close())
 	}()
 	g.Quiesce(testTimeout)
-	if !in.Closed() || in.leaving() {
+	if !in.Closed() || in.isLeaving() {
 		t.Error("Quiesce returned before the connection was closed")
 	}
 	noError(t, await(t, readErr))
--- a/internal/reactor/conn.go
+++ b/internal/reactor/conn.go
@@ -1,7 +1,6 @@
 package reactor
 
 import (
-	"container/list"
 	"net/netip"
 	"sync"
 	"time"
@@ -34,8 +33,7 @@
 	sources      []*Conn     // paused until out is short again
 	deadline     *time.Timer // of the dial, or of lingering
 	drained      int         // bytes read while lingering
-
-	lingerElement *list.Element // the group's lock protects it
+	leaving      leavingEntry
 
 	in []byte // read and not consumed yet; the loop alone uses it
 }
@@ -56,24 +54,21 @@
 	c.mu.Lock()
 	err := c.enlist()
 	c.mu.Unlock()
-	if err != nil {
-		closeFD(c.fd)
-		return
+	if err == nil {
+		c.handler.OnOpen(c, nil)
 	}
-	c.handler.OnOpen(c, nil)
 }
 
-// enlist adds the descriptor to the loop's slots. The caller closes it if that fails.
+// enlist adds the descriptor to the loop's slots. The connection is closed if that fails.
 func (c *Conn) enlist() (err error) {
 	if c.state == closed {
 		return ErrClosed
 	}
 	if c.slot, c.generation, err = c.loop.add(c.fd, c, c.watched); err != nil {
-		c.state = closed
+		c.close(false)
 		return err
 	}
 	c.listed = true
-	c.loop.group.hold(1)
 	return nil
 }
 
@@ -170,8 +165,8 @@
 	return c.state > established
 }
 
-// leaving reports whether Close was called and has not finished.
-func (c *Conn) leaving() bool {
+// isLeaving reports whether Close was called and has not finished.
+func (c *Conn) isLeaving() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.state == closing || c.state == lingering
--- a/internal/reactor/dial.go
+++ b/internal/reactor/dial.go
@@ -23,26 +23,29 @@
 }
 
 func (c *Conn) connect(addr string, timeout time.Duration) {
+	c.loop.group.descriptors.reserve()
 	if err := c.startConnect(addr, timeout); err != nil {
 		c.handler.OnOpen(c, err)
 	}
 }
 
-// startConnect starts the dial, unless the connection is closed already. The connection is closed if that fails.
+// startConnect starts the dial with the descriptor that is reserved, unless the connection is closed already. The connection
+// is closed if that fails.
 func (c *Conn) startConnect(addr string, timeout time.Duration) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.state == closed {
+		c.loop.group.ReleaseDescriptor()
 		return nil
 	}
 	fd, err := connectSocket(addr)
 	if err != nil {
 		c.state = closed
+		c.loop.group.ReleaseDescriptor()
 		return err
 	}
 	c.fd = fd
 	if err := c.enlist(); err != nil {
-		closeFD(fd)
 		return err
 	}
 	c.deadline = time.AfterFunc(timeout, func() {
--- a/internal/reactor/group.go
+++ b/internal/reactor/group.go
@@ -1,7 +1,6 @@
 package reactor
 
 import (
-	"container/list"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,10 +15,7 @@
 	next  atomic.Uint32 // for pick
 	wg    sync.WaitGroup
 
-	mu        sync.Mutex
-	held      int       // descriptors of connections
-	budget    int       // maximum of held above which none may linger; 0: unlimited
-	lingering list.List // of *Conn: the lingering ones, the oldest first
+	descriptors descriptors
 }
 
 // New starts n loops, and at least one.
@@ -60,57 +56,6 @@
 // pick is the loop for the next connection.
 func (g *Group) pick() *Loop { return g.loops[int(g.next.Add(1))%len(g.loops)] }
 
-// SetDescriptorBudget sets how many descriptors connections may hold before lingering ones are closed for new ones; 0 is no
-// limit.
-func (g *Group) SetDescriptorBudget(n int) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.budget = n
-}
-
-// hold counts n more descriptors, and closes the connections that have lingered longest if there are too many.
-func (g *Group) hold(n int) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.held += n
-	if g.budget <= 0 {
-		return
-	}
-	for range g.held - g.budget {
-		c := g.popLingering()
-		if c == nil {
-			return
-		}
-		c.loop.Post(func() { c.Abort(false) }) // posted, since the caller may hold this connection's lock
-	}
-}
-
-func (g *Group) popLingering() *Conn {
-	e := g.lingering.Front()
-	if e == nil {
-		return nil
-	}
-	return g.lingering.Remove(e).(*Conn)
-}
-
-// linger records a connection that lingers.
-func (g *Group) linger(c *Conn) {
-	g.mu.Lock()
-	c.lingerElement = g.lingering.PushBack(c)
-	g.mu.Unlock()
-	g.hold(0)
-}
-
-// release forgets a connection whose descriptor is closed.
-func (g *Group) release(c *Conn) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.held--
-	if c.lingerElement != nil {
-		g.lingering.Remove(c.lingerElement) // no effect if popLingering has removed it
-	}
-}
-
 // Each has the loop of every connection call f with the connection's handler soon, after OnOpen.
 func (g *Group) Each(f func(Handler)) {
 	for _, l := range g.loops {
@@ -144,7 +89,7 @@
 			return false
 		}
 		for _, s := range l.sources() {
-			if c, ok := s.(*Conn); ok && c.leaving() {
+			if c, ok := s.(*Conn); ok && c.isLeaving() {
 				return false
 			}
 		}
--- a/internal/reactor/listener.go
+++ b/internal/reactor/listener.go
@@ -12,6 +12,9 @@
 const (
 	maxAccepts  = 64 // at one event, so that a flood of connections doesn't delay the others
 	acceptPause = 10 * time.Millisecond
+
+	// drainTimeout bounds the time that Drain takes. The platform ends the program 0.2 s after it has begun at the earliest.
+	drainTimeout = 80 * time.Millisecond
 )
 
 // Listener accepts connections on one address.
@@ -98,26 +101,45 @@
 	closeFD(l.fd)
 }
 
-// Drain accepts all that waits in the kernel's accept queue, whatever the limit, and then closes the listener.
+// Drain accepts what waits in the kernel's accept queue, whatever the limit of unfinished ones, and then closes the
+// listener. Handlers have to close their connections in OnOpen, which makes room in the descriptor budget for the next: what
+// does not fit, or is not accepted within drainTimeout, is reset by the kernel. It waits for the listener's loop.
 func (l *Listener) Drain() {
-	l.acceptQueue()
+	done := make(chan struct{})
+	l.loop.Post(func() {
+		defer close(done)
+		l.acceptQueue(time.Now().Add(drainTimeout))
+	})
+	select {
+	case <-done:
+	case <-time.After(drainTimeout): // a handler is running for long
+	}
 	l.Close()
 }
 
-func (l *Listener) acceptQueue() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for !l.closed {
-		c, err := l.acceptOne()
+// acceptQueue is called by the listener's loop.
+func (l *Listener) acceptQueue(deadline time.Time) {
+	for time.Now().Before(deadline) {
+		c, err := l.acceptFromQueue()
 		switch {
 		case err == nil:
-			c.loop.Post(c.begin)
+			c.begin()
 		case !isAborted(err):
 			return
 		}
 	}
 }
 
+// acceptFromQueue accepts a connection for the listener's own loop.
+func (l *Listener) acceptFromQueue() (*Conn, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return nil, ErrClosed
+	}
+	return l.acceptOne(l.loop)
+}
+
 // ready implements source: it accepts what waits, up to the limits.
 func (l *Listener) ready(uint32) {
 	for range maxAccepts {
@@ -143,7 +165,7 @@
 	if l.closed || l.full {
 		return nil, nil
 	}
-	c, err := l.acceptOne()
+	c, err := l.acceptOne(l.group.pick())
 	switch {
 	case err == nil:
 		l.unfinished++
@@ -157,15 +179,20 @@
 	return c, err
 }
 
-// acceptOne accepts a connection and makes its handler.
-func (l *Listener) acceptOne() (*Conn, error) {
+// acceptOne accepts a connection for a loop and makes its handler. It fails with errNoDescriptor if the group's budget has
+// no room.
+func (l *Listener) acceptOne(loop *Loop) (*Conn, error) {
+	if !l.group.descriptors.canMakeRoom() {
+		return nil, errNoDescriptor
+	}
 	fd, _, err := unix.Accept4(l.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 	if err != nil {
 		return nil, err
 	}
+	l.group.descriptors.reserve() // only now, as no connection has to yield where none was waiting
 	setNoDelay(fd)
 	return &Conn{
-		loop: l.group.pick(), fd: fd, handler: l.accept(l.done), state: established, watched: readEvents,
+		loop: loop, fd: fd, handler: l.accept(l.done), state: established, watched: readEvents,
 	}, nil
 }
 
@@ -176,7 +203,7 @@
 
 // isOutOfResources reports whether accept fails until descriptors or memory are free again.
 func isOutOfResources(err error) bool {
-	return errors.Is(err, unix.EMFILE) || errors.Is(err, unix.ENFILE) ||
+	return errors.Is(err, errNoDescriptor) || errors.Is(err, unix.EMFILE) || errors.Is(err, unix.ENFILE) ||
 		errors.Is(err, unix.ENOBUFS) || errors.Is(err, unix.ENOMEM)
 }
 
@@ -193,7 +220,8 @@
 
 func (l *Listener) watch(events uint32) { l.loop.modify(l.fd, l.slot, l.generation, events) }
 
-// pause stops accepting for a moment: while no descriptor is free each attempt would fail at once.
+// pause stops accepting for a moment: while no descriptor is free each attempt would fail at once. What waits stays in the
+// kernel's accept queue.
 func (l *Listener) pause() {
 	l.watch(0)
 	time.AfterFunc(acceptPause, func() {
--- a/internal/reactor/reactor.go
+++ b/internal/reactor/reactor.go
@@ -41,7 +41,8 @@
 	ErrTimeout = errors.New("reactor: connect timed out")
 	ErrClosed  = errors.New("reactor: connection is closed")
 
-	errGroupClosed = errors.New("reactor: group is closed")
+	errGroupClosed  = errors.New("reactor: group is closed")
+	errNoDescriptor = errors.New("reactor: descriptor budget is used up")
 )
 
 // WasReset reports whether an error of OnEnd means a broken connection, not one that its peer has ended in order.
