--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -56,7 +56,7 @@
 	startedAt    time.Duration
 	incarnations *membership.Incarnations
 	log          wal.Log // nil: it could not be opened, and nothing is stored
-	records      uint64  // appended to the log; Run's own
+	recordCount  int     // in the log after its snapshot; Run's own
 	unsaved      chan struct{}
 	decisions    chan recovery.Decision
 
--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -202,6 +202,29 @@
 	f.wantLogged("a", "is corrupt", "its files are in")
 }
 
+// Guards against a log that grows with each start of an instance which stores few lists: a start takes the records that are
+// there into account.
+func TestShortLivesDoNotGrowTheLog(t *testing.T) {
+	f := newFleet(t, "a", "b")
+	version := int64(0)
+	largest, sizes := 0, []int{}
+	for range 3 * snapshotInterval / 8 {
+		c := f.start("a")
+		for range 8 {
+			version++
+			f.update(c, completeList(version, 5))
+		}
+		if err := c.Close(); err != nil {
+			t.Fatal(err)
+		}
+		size := f.disks["a"].TotalBytes()
+		sizes, largest = append(sizes, size), max(largest, size)
+	}
+	if first := sizes[0]; largest > first*(snapshotInterval/8+1) {
+		t.Errorf("the files have %d bytes at most, %d after one start: %v", largest, first, sizes)
+	}
+}
+
 // A full disk does not stop an instance, is logged, and is written again when there is room. A failed sync ends the log.
 func TestFullDiskIsRetried(t *testing.T) {
 	f := newFleet(t, "a", "b")
--- a/internal/cluster/storage.go
+++ b/internal/cluster/storage.go
@@ -33,6 +33,7 @@
 		return recovery.PeerState{}
 	}
 	c.log = log
+	c.recordCount = len(recovered.Records)
 	var r record
 	if b := latest(recovered); len(b) == 0 || json.Unmarshal(b, &r) != nil {
 		return recovery.PeerState{}
@@ -101,17 +102,22 @@
 	return explained != nil && explained.Retryable()
 }
 
-// appendList appends the list to the log, and replaces the log by a snapshot every snapshotInterval records.
+// appendList appends the list to the log, and replaces the log by a snapshot every snapshotInterval records, of whichever
+// process.
 func (c *Cluster) appendList() error {
-	b := encode(c.currentRecord())
-	number, err := c.log.Append(b)
+	content := encode(c.currentRecord())
+	number, err := c.log.Append(content)
 	if err != nil {
 		return err
 	}
-	c.records++
-	if c.records%snapshotInterval == 0 {
-		return c.log.Snapshot(number, b)
+	c.recordCount++
+	if c.recordCount < snapshotInterval {
+		return nil
+	}
+	if err := c.log.Snapshot(number, content); err != nil {
+		return err // the next list's takes its place
 	}
+	c.recordCount = 0
 	return nil
 }
 
