--- a/internal/membership/incarnation_test.go
+++ b/internal/membership/incarnation_test.go
@@ -222,3 +222,37 @@
 		t.Errorf("a damaged file: %d after %d", n, last)
 	}
 }
+
+// Guards against an incarnation that two starts share: power is lost after each change of the disk in turn, and each change
+// fails in turn because the disk is full or a sync fails.
+func TestIncarnationIsUsedOnceWhateverFails(t *testing.T) {
+	for change := 1; change <= 12; change++ {
+		for seed := range uint64(8) {
+			disk := faultfs.New(seed)
+			used := uint64(0)
+			for start := range 4 {
+				if start == 1 {
+					disk.LosePowerAfter(change)
+				}
+				incarnations, err := membership.OpenIncarnations(disk, "d")
+				if err != nil {
+					disk.Crash()
+					continue
+				}
+				for range 2 {
+					n, err := incarnations.Next(0, 0)
+					if err == nil && n <= used {
+						t.Errorf("change %d, seed %d: incarnation %d after %d", change, seed, n, used)
+					}
+					if err == nil {
+						used = n
+					}
+				}
+				disk.Crash()
+			}
+			if used < 4 {
+				t.Errorf("change %d, seed %d: only %d incarnations", change, seed, used)
+			}
+		}
+	}
+}
--- a/internal/wal/atomicfile.go
+++ b/internal/wal/atomicfile.go
@@ -25,6 +25,7 @@
 		return err
 	}
 	if err := fs.Rename(temporary, name); err != nil {
+		_ = fs.Remove(temporary) // best effort: its space may be needed
 		return err
 	}
 	return fs.SyncDir(filepath.Dir(name))
--- a/internal/wal/faultfs/faults.go
+++ b/internal/wal/faultfs/faults.go
@@ -14,7 +14,35 @@
 func (f *FS) SetFreeBytes(bytes int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.freeBytes = bytes
+	f.freeBytes = max(bytes, noLimit)
+}
+
+// SetCapacity limits the size of all files together, in bytes; 0: there is no limit. Removed files make room.
+func (f *FS) SetCapacity(bytes int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.capacity = bytes
+}
+
+// Changes returns how many calls have changed something: creations, writes, truncations, syncs, renames and removals.
+func (f *FS) Changes() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changes
+}
+
+// LosePowerAfter has all calls that would change something fail with ErrPowerLost after so many, until Crash.
+func (f *FS) LosePowerAfter(changes int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.powerLostAt = f.changes + changes
+}
+
+// TotalBytes returns the size of all files.
+func (f *FS) TotalBytes() (total int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.totalBytes()
 }
 
 // FailNextSyncs makes the next n syncs fail. What they should have made durable is lost in a crash, as kernels drop pages
@@ -79,6 +107,7 @@
 func (f *FS) Crash() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.powerLostAt = 0
 	// Changes of names reach the disk in order, up to some point.
 	for _, change := range f.pending[:f.rnd.IntN(len(f.pending)+1)] {
 		change(f.durable)
--- a/internal/wal/faultfs/fs.go
+++ b/internal/wal/faultfs/fs.go
@@ -17,8 +17,11 @@
 	"example.org/milletvane/internal/wal"
 )
 
-// ErrIO is returned by syncs that fail.
-var ErrIO = errors.New("input/output error")
+// Errors of calls that fail on purpose.
+var (
+	ErrIO        = errors.New("input/output error") // of syncs
+	ErrPowerLost = errors.New("power was lost")
+)
 
 // noLimit as free bytes stands for a disk without end.
 const noLimit = -1
@@ -33,8 +36,11 @@
 	dirs    map[string]bool
 
 	freeBytes    int // that may still be written; negative: without limit
+	capacity     int // of all files together; 0: without limit
 	failingSyncs int // so many syncs fail from now on
 	dropSyncs    bool
+	changes      int           // calls that changed something
+	powerLostAt  int           // no later call has any effect; 0: power is not lost
 	stalled      chan struct{} // writes wait until it is closed; nil: they don't
 }
 
@@ -61,10 +67,22 @@
 	f.pending = append(f.pending, change)
 }
 
+// change counts a call that changes something, and fails once power is lost.
+func (f *FS) change() error {
+	if f.powerLostAt > 0 && f.changes >= f.powerLostAt {
+		return ErrPowerLost
+	}
+	f.changes++
+	return nil
+}
+
 // MkdirAll implements wal.FS.
 func (f *FS) MkdirAll(dir string) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if err := f.change(); err != nil {
+		return err
+	}
 	f.dirs[dir] = true
 	return nil
 }
@@ -100,9 +118,12 @@
 func (f *FS) Create(name string) (wal.File, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.freeBytes == 0 {
+	if f.room() == 0 {
 		return nil, syscall.ENOSPC
 	}
+	if err := f.change(); err != nil {
+		return nil, err
+	}
 	n := &inode{}
 	f.apply(func(files map[string]*inode) { files[name] = n })
 	return &file{f, n}, nil
@@ -123,6 +144,9 @@
 func (f *FS) Rename(from, to string) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if err := f.change(); err != nil {
+		return err
+	}
 	renamed := false
 	for _, name := range slices.Sorted(maps.Keys(f.files)) {
 		target, matches := to, name == from
@@ -152,6 +176,9 @@
 	if f.files[name] == nil {
 		return fs.ErrNotExist
 	}
+	if err := f.change(); err != nil {
+		return err
+	}
 	f.apply(func(files map[string]*inode) { delete(files, name) })
 	return nil
 }
@@ -163,8 +190,8 @@
 	if f.failsSync() {
 		return ErrIO
 	}
-	if f.dropSyncs {
-		return nil
+	if err := f.change(); err != nil || f.dropSyncs {
+		return err
 	}
 	for _, change := range f.pending {
 		change(f.durable)
@@ -173,6 +200,25 @@
 	return nil
 }
 
+// room is how many bytes can be written; noLimit: any number.
+func (f *FS) room() int {
+	room := f.freeBytes
+	if f.capacity > 0 {
+		left := max(f.capacity-f.totalBytes(), 0)
+		if room == noLimit || left < room {
+			room = left
+		}
+	}
+	return room
+}
+
+func (f *FS) totalBytes() (total int) {
+	for _, n := range f.files {
+		total += len(n.data)
+	}
+	return total
+}
+
 // failsSync reports whether a sync has to fail, and counts it.
 func (f *FS) failsSync() bool {
 	if f.failingSyncs > 0 {
@@ -198,9 +244,14 @@
 	}
 	f.fs.mu.Lock()
 	defer f.fs.mu.Unlock()
+	if err := f.fs.change(); err != nil {
+		return 0, err
+	}
 	n := len(b)
+	if room := f.fs.room(); room != noLimit {
+		n = min(n, room)
+	}
 	if f.fs.freeBytes >= 0 {
-		n = min(n, f.fs.freeBytes)
 		f.fs.freeBytes -= n
 	}
 	f.inode.data = append(f.inode.data, b[:n]...)
@@ -214,6 +265,9 @@
 func (f *file) Truncate(size int64) error {
 	f.fs.mu.Lock()
 	defer f.fs.mu.Unlock()
+	if err := f.fs.change(); err != nil {
+		return err
+	}
 	if int(size) < len(f.inode.data) {
 		f.inode.data = f.inode.data[:size:size]
 	}
@@ -227,6 +281,9 @@
 	if f.fs.failsSync() {
 		return ErrIO
 	}
+	if err := f.fs.change(); err != nil {
+		return err
+	}
 	if !f.fs.dropSyncs {
 		f.inode.durable = slices.Clone(f.inode.data)
 	}
--- a/internal/wal/faults_test.go
+++ b/internal/wal/faults_test.go
@@ -107,6 +107,22 @@
 	return f.File.Sync()
 }
 
+// formatFault is an error that a call of a file system returns.
+type formatFault struct {
+	name string
+	err  error
+	ever bool // from that call on
+}
+
+func formatFaults() []formatFault {
+	return []formatFault{
+		{"error", syscall.EIO, false},
+		{"full", syscall.ENOSPC, false},
+		{"errors", syscall.EIO, true},
+		{"stays full", syscall.ENOSPC, true},
+	}
+}
+
 // A log that runs into a fault at any of its calls returns the same kinds of errors and leaves the same files as before.
 func TestEveryFailedCallEndsAsBefore(t *testing.T) {
 	t.Parallel()
@@ -144,11 +160,7 @@
 		for _, call := range sound.calls {
 			fmt.Fprintf(&all, "  %s\n", call)
 		}
-		for _, fault := range []struct {
-			name string
-			err  error
-			ever bool // from that call on
-		}{{"error", syscall.EIO, false}, {"full", syscall.ENOSPC, false}, {"errors", syscall.EIO, true}, {"stays full", syscall.ENOSPC, true}} {
+		for _, fault := range formatFaults() {
 			for k := 1; k <= len(sound.calls); k++ {
 				fs := &faultyFS{FS: diskOf(t, base.files), fails: func(call int) error {
 					if call == k || fault.ever && call > k {
--- a/internal/wal/filelog.go
+++ b/internal/wal/filelog.go
@@ -36,10 +36,12 @@
 	queue   []*appendRequest // for the goroutine that writes
 	err     error            // permanent: a WriteFailedError or ClosedError
 
-	active   segment // the one that is appended to
+	active   segment // the one that is appended to; none: it could not be created yet
 	last     uint64  // number of the last durable record
 	snapshot uint64  // number of the last record that the snapshot covers
-	buf      []byte
+
+	obsoleteLeft bool // files that the snapshot covers could not all be removed
+	buf          []byte
 }
 
 // appendRequest is a record that waits to be written. number and err are set before done is closed.
@@ -112,7 +114,7 @@
 		r.number = number
 		l.buf = appendFrame(l.buf, number, l.last, r.record)
 	}
-	if l.active.size > l.opts.SegmentBytes {
+	if l.active.file == nil || l.active.size > l.opts.SegmentBytes {
 		if err := l.roll(); err != nil {
 			return err
 		}
@@ -152,5 +154,8 @@
 		return nil
 	}
 	l.err = &ClosedError{l.dir}
+	if l.active.file == nil {
+		return nil
+	}
 	return l.active.file.Close()
 }
--- a/internal/wal/log.go
+++ b/internal/wal/log.go
@@ -23,7 +23,8 @@
 	// Append stores a record and returns its number, one more than the last. The record is durable when Append returns.
 	Append(record []byte) (uint64, error)
 	// Snapshot replaces all records up to a number by a state that covers them. It is durable when Snapshot returns. After
-	// an error that may be retried the log is unchanged. A snapshot that is not newer than the last one is ignored.
+	// an error that may be retried all records are still there, or covered by the snapshot, and the same snapshot may be
+	// taken again. The state of a snapshot that is not newer than the last one is ignored.
 	Snapshot(upTo uint64, state []byte) error
 	// Close waits for appends in progress and closes the log. Closing it again has no effect.
 	Close() error
--- a/internal/wal/recover.go
+++ b/internal/wal/recover.go
@@ -27,6 +27,8 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	l.opts.Logger.Info("log opened", "dir", dir, "snapshot", recovered.SnapshotNumber, "records", len(recovered.Records),
+		"segment", l.active.first, "segment_bytes", l.active.size)
 	return l, recovered, nil
 }
 
@@ -53,13 +55,20 @@
 	if err := l.loadSegments(r, dir.segments); err != nil {
 		return nil, err
 	}
-	for _, number := range dir.snapshots {
-		if number != r.SnapshotNumber {
-			l.tryRemove(snapshotName(number))
-		}
+	return r, l.removeCoveredAtOpen()
+}
+
+// removeCoveredAtOpen removes what the snapshot covers and a crash has left. On a full disk the next snapshot takes it up.
+func (l *FileLog) removeCoveredAtOpen() error {
+	err := l.removeCovered()
+	if noSpace := new(NoSpaceError); errors.As(err, &noSpace) {
+		l.opts.Logger.Warn("covered records not removed", "dir", l.dir, "err", err)
+		return nil
+	}
+	if err != nil && l.active.file != nil {
+		_ = l.active.file.Close() // the log does not open
 	}
-	l.removeObsolete(0)
-	return r, nil
+	return err
 }
 
 // loadSegments reads the records after the snapshot. Segments that it covers are not read: they need not be complete.
--- a/internal/wal/segment.go
+++ b/internal/wal/segment.go
@@ -49,7 +49,7 @@
 	return d
 }
 
-// segment is a segment file that is open for appending.
+// segment is a segment file that is open for appending. The zero value is none.
 type segment struct {
 	file  File
 	size  int64  // in bytes, all durable
@@ -89,33 +89,42 @@
 	if err != nil {
 		return l.writeError(err)
 	}
-	_ = l.active.file.Close() // all of it was synced
+	if l.active.file != nil {
+		_ = l.active.file.Close() // all of it was synced
+	}
 	l.active = next
 	return nil
 }
 
-// removeObsolete removes the segments that the snapshot covers, and the snapshot before it. A failure does no harm: it is
-// done again when the log is opened.
-func (l *FileLog) removeObsolete(previousSnapshot uint64) {
+// removeObsolete removes the segments that the snapshot covers, but for the active one, and the snapshots before it. A
+// failure does no harm: it is done again with the next snapshot, also of the same records, and when the log is opened.
+func (l *FileLog) removeObsolete() {
 	names, err := l.fs.List(l.dir)
+	l.obsoleteLeft = err != nil
 	if err != nil {
 		return
 	}
-	segments := parseDirectory(names).segments
-	for i, first := range segments {
+	dir := parseDirectory(names)
+	for i, first := range dir.segments {
 		next := l.last + 1 // the first record that is not in this segment
-		if i+1 < len(segments) {
-			next = segments[i+1]
+		if i+1 < len(dir.segments) {
+			next = dir.segments[i+1]
 		}
 		if first != l.active.first && next <= l.snapshot+1 {
 			l.tryRemove(segmentName(first))
 		}
 	}
-	if previousSnapshot > 0 && previousSnapshot != l.snapshot {
-		l.tryRemove(snapshotName(previousSnapshot))
+	for _, number := range dir.snapshots {
+		if number < l.snapshot {
+			l.tryRemove(snapshotName(number))
+		}
 	}
 	_ = l.fs.SyncDir(l.dir)
 }
 
 // tryRemove removes a file that is not needed any more, if it can.
-func (l *FileLog) tryRemove(name string) { _ = l.fs.Remove(filepath.Join(l.dir, name)) }
+func (l *FileLog) tryRemove(name string) {
+	if l.fs.Remove(filepath.Join(l.dir, name)) != nil {
+		l.obsoleteLeft = true
+	}
+}
--- a/internal/wal/snapshot.go
+++ b/internal/wal/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"path/filepath"
 	"slices"
@@ -29,7 +30,7 @@
 	switch {
 	case l.err != nil:
 		return l.err
-	case upTo <= l.snapshot:
+	case upTo < l.snapshot || upTo == l.snapshot && !l.obsoleteLeft && !l.isActiveCovered():
 		return nil
 	}
 	l.writing = true
@@ -42,26 +43,57 @@
 }
 
 // compact writes a snapshot and then removes what it covers. A crash at any point leaves either the old snapshot with all
-// segments, or the new one with segments that are removed when the log is opened.
+// segments, or the new one with segments that are removed when the log is opened. For the snapshot that is there already it
+// takes up the removal where that has failed.
 func (l *FileLog) compact(upTo uint64, state []byte) error {
 	if upTo > l.last {
 		return fmt.Errorf("%w: up to record %d, the last one is %d", ErrSnapshotAhead, upTo, l.last)
 	}
-	name := filepath.Join(l.dir, snapshotName(upTo))
-	if err := WriteFileAtomic(l.fs, name, encodeSnapshot(upTo, state)); err != nil {
-		return l.writeError(err)
+	if upTo > l.snapshot {
+		name := filepath.Join(l.dir, snapshotName(upTo))
+		if err := WriteFileAtomic(l.fs, name, encodeSnapshot(upTo, state)); err != nil {
+			return l.writeError(err)
+		}
+		l.snapshot = upTo
 	}
-	previous := l.snapshot
-	l.snapshot = upTo
-	if l.last == upTo && l.active.size > int64(segmentHeaderSize) {
-		if err := l.roll(); err != nil {
+	return l.removeCovered()
+}
+
+// removeCovered removes what the snapshot covers. Where that is every record, the log continues in a new segment, so that the
+// active one can be removed too: at its size limit it would take no record any more.
+func (l *FileLog) removeCovered() error {
+	if l.isActiveCovered() {
+		err := l.roll()
+		if noSpace := new(NoSpaceError); errors.As(err, &noSpace) {
+			err = l.replaceActive()
+		}
+		if err != nil {
 			return err
 		}
 	}
-	l.removeObsolete(previous)
+	l.removeObsolete()
 	return nil
 }
 
+// isActiveCovered reports whether the active segment holds records, and the snapshot covers all of them.
+func (l *FileLog) isActiveCovered() bool {
+	return l.last == l.snapshot && l.active.size > int64(segmentHeaderSize)
+}
+
+// replaceActive removes the active segment, all of whose records the snapshot covers, and then creates the next: on a disk
+// that has no space for both. A crash in between leaves the snapshot alone, with which the log opens.
+func (l *FileLog) replaceActive() error {
+	if err := l.fs.Remove(filepath.Join(l.dir, segmentName(l.active.first))); err != nil {
+		return l.writeError(err)
+	}
+	_ = l.active.file.Close() // nothing in it is needed
+	l.active = segment{}
+	if err := l.fs.SyncDir(l.dir); err != nil {
+		return l.writeError(err)
+	}
+	return l.roll()
+}
+
 // readSnapshot reads the state of a snapshot file. The file was complete and durable when it was renamed into place: no
 // defect of it can be a torn write.
 func (l *FileLog) readSnapshot(last uint64) ([]byte, error) {
