Bound the connections of load polls, and count them towards the descriptor limit

Callers saw requests fail for want of descriptors in front of many servers: each server that was ever polled for its load held a connection until it left the list, beside all budgets.

Cause: loadPoller kept its own connection; nothing bounded their number. Found by listing the uses of descriptors, by reading.

Change: polls share 12 connections, which the reactor's budget counts. A poll that needs a new one closes the one that has been idle longest, or waits for another poll's end. Up to 12 servers nothing changes.

--- a/internal/lineproto/backend/backend.go
+++ b/internal/lineproto/backend/backend.go
@@ -44,6 +44,8 @@
 	events  Poster
 	conns   *reactor.Group
 	pollers map[balancer.ServerID]*loadPoller // the engine's goroutine alone uses it
+
+	pollConns *pollConns
 }
 
 // Options configure a Backend.
@@ -59,11 +61,16 @@
 	if o.Forwarded == nil {
 		o.Forwarded = new(atomic.Int64)
 	}
-	return &Backend{options: o, pollers: map[balancer.ServerID]*loadPoller{}}
+	return &Backend{options: o, pollers: map[balancer.ServerID]*loadPoller{}, pollConns: newPollConns()}
 }
 
 // Connect sets where events go and which loops drive the connections.
-func (b *Backend) Connect(events Poster, conns *reactor.Group) { b.events, b.conns = events, conns }
+func (b *Backend) Connect(events Poster, conns *reactor.Group) {
+	b.events, b.conns = events, conns
+	if conns != nil {
+		b.pollConns.descriptors = conns
+	}
+}
 
 // Send implements engine.Backend. It doesn't block.
 func (b *Backend) Send(a engine.Attempt) engine.ActiveAttempt {
--- a/internal/lineproto/backend/loadpoll.go
+++ b/internal/lineproto/backend/loadpoll.go
@@ -1,9 +1,7 @@
 package backend
 
 import (
-	"bufio"
 	"errors"
-	"net"
 	"os"
 	"time"
 
@@ -24,11 +22,8 @@
 	server   balancer.ServerID
 	addr     string
 	events   Poster
+	conns    *pollConns
 	requests chan struct{}
-
-	// The goroutine alone uses these.
-	conn   net.Conn // nil: not connected
-	reader *bufio.Reader
 }
 
 // PollLoad implements engine.LoadPoller. At most one poll of a server is in flight, and one more queued.
@@ -39,7 +34,9 @@
 		p = nil
 	}
 	if p == nil {
-		p = &loadPoller{server: id, addr: addr, events: b.events, requests: make(chan struct{}, 1)}
+		p = &loadPoller{
+			server: id, addr: addr, events: b.events, conns: b.pollConns, requests: make(chan struct{}, 1),
+		}
 		b.pollers[id] = p
 		go p.run()
 	}
@@ -59,7 +56,7 @@
 
 // run polls for each request until there will be no more.
 func (p *loadPoller) run() {
-	defer p.disconnect()
+	defer p.conns.forget(p)
 	for range p.requests {
 		p.poll()
 	}
@@ -68,10 +65,9 @@
 // poll posts the server's load report if there is one. Servers close idle connections, which shows only at the next use and
 // says nothing of the server's health: the poll is then retried once, on a new connection.
 func (p *loadPoller) poll() {
-	reused := p.conn != nil
-	report, err := p.attempt()
-	if reused && maybeClosedIdle(err) {
-		report, err = p.attempt()
+	report, isReused, err := p.attempt()
+	if isReused && maybeClosedIdle(err) {
+		report, _, err = p.attempt()
 	}
 	if err == nil {
 		p.events.TryPost(engine.LoadReported{Server: p.server, Report: report})
@@ -83,52 +79,20 @@
 	return err != nil && !errors.Is(err, errNoReport) && !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
-// attempt polls once, and connects before if need be. It disconnects after an error.
-func (p *loadPoller) attempt() (engine.LoadReport, error) {
-	if err := p.connect(); err != nil {
-		return engine.LoadReport{}, err
-	}
-	report, err := p.exchange()
+// attempt polls once. The connection is kept unless that fails.
+func (p *loadPoller) attempt() (report engine.LoadReport, isReused bool, err error) {
+	conn, isReused, err := p.conns.get(p)
 	if err != nil {
-		p.disconnect()
-	}
-	return report, err
-}
-
-func (p *loadPoller) connect() error {
-	if p.conn != nil {
-		return nil
+		return engine.LoadReport{}, isReused, err
 	}
-	conn, err := net.DialTimeout("tcp", p.addr, pollTimeout)
+	text, err := conn.exchange()
 	if err != nil {
-		return err
-	}
-	p.conn, p.reader = conn, bufio.NewReaderSize(conn, codec.MaxLineLength)
-	return nil
-}
-
-func (p *loadPoller) disconnect() {
-	if p.conn != nil {
-		_ = p.conn.Close() // nothing sent on it is of use any more
-		p.conn = nil
-	}
-}
-
-// exchange sends STATS and reads the answer.
-func (p *loadPoller) exchange() (engine.LoadReport, error) {
-	_ = p.conn.SetDeadline(time.Now().Add(pollTimeout)) // on a closed connection; the write then fails too
-	if _, err := p.conn.Write([]byte(codec.Stats)); err != nil {
-		return engine.LoadReport{}, err
-	}
-	line, err := p.reader.ReadSlice('\n')
-	if err != nil {
-		return engine.LoadReport{}, err
-	}
-	report, ok := codec.ParsePong(line)
-	if !ok {
-		return engine.LoadReport{}, errNoReport
+		p.conns.closeConn(conn)
+		return engine.LoadReport{}, isReused, err
 	}
-	return parseLoadReport(report), nil
+	report = parseLoadReport(text) // before another poll may read into the connection's buffer
+	p.conns.put(p, conn)
+	return report, isReused, nil
 }
 
 // parseLoadReport takes what the balancer uses of a load report.
--- a/internal/lineproto/backend/loadpoll_test.go
+++ b/internal/lineproto/backend/loadpoll_test.go
@@ -5,9 +5,11 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
+	"example.org/milletvane/balancer"
 	"example.org/milletvane/internal/engine"
 )
 
@@ -105,3 +107,89 @@
 		}
 	}
 }
+
+// openCounter is a descriptorCounter that keeps the highest count.
+type openCounter struct {
+	mu            sync.Mutex
+	open, highest int
+}
+
+func (c *openCounter) ReserveDescriptor() { c.add(1) }
+func (c *openCounter) ReleaseDescriptor() { c.add(-1) }
+
+func (c *openCounter) openCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.open
+}
+
+func (c *openCounter) highestCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.highest
+}
+
+func (c *openCounter) add(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open += n
+	c.highest = max(c.highest, c.open)
+}
+
+// Guards against a descriptor for each server that is polled, of which there may be more than the program has: polls share a
+// few, whether their servers answer, hang or refuse, and give them back with their servers.
+func TestLoadPollsShareFewConnections(t *testing.T) {
+	const servers, rounds = 6 * maxPollConns, 4
+	events := make(eventQueue, servers*rounds)
+	b := New(Options{})
+	b.Connect(events, nil)
+	counter := &openCounter{}
+	b.pollConns.descriptors = counter
+	answering := listen(t)
+	go serveAll(answering)
+	refusing := listen(t)
+	refused := refusing.Addr().String()
+	if err := refusing.Close(); err != nil {
+		t.Fatal(err)
+	}
+	for range rounds {
+		reported := map[balancer.ServerID]bool{}
+		for id := range balancer.ServerID(servers) {
+			addr := answering.Addr().String()
+			if id%8 == 7 {
+				addr = refused
+			}
+			b.PollLoad(id+1, addr)
+		}
+		for len(reported) < servers-servers/8 {
+			reported[events.next(t).(engine.LoadReported).Server] = true
+		}
+	}
+	if highest := counter.highestCount(); highest > maxPollConns {
+		t.Errorf("%d connections were open at once, at most %d may be", highest, maxPollConns)
+	}
+	for id := range balancer.ServerID(servers) {
+		b.Forget(id + 1)
+	}
+	for end := time.Now().Add(testTimeout); counter.openCount() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d connections are left", counter.openCount())
+		}
+	}
+}
+
+// serveAll answers every line on every connection with a report.
+func serveAll(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			for lines := bufio.NewScanner(conn); lines.Scan(); {
+				_, _ = io.WriteString(conn, "PONG x0=0.5\r\n")
+			}
+			_ = conn.Close()
+		}()
+	}
+}
