Bound NATS handshakes and requests by the time that an attempt has to connect

Callers saw a session set up at a node that was about to end: a node that drains by the list, and was slow to send its INFO, got the handshake later than the drain grace.

Cause: the backend of NATS ignored engine.Attempt.ConnectTimeout, by which the balancer keeps attempts within the grace. Ruled out: a list that had not come, and lame duck mode, which ends the attempt.

Change: the dial is bounded by it, a handshake after it is not sent, and a request that waited longer for a shared connection ends as one that never ran.

--- a/gateway/nats_migration_test.go
+++ b/gateway/nats_migration_test.go
@@ -226,3 +226,38 @@
 	e.expect("-ERR 'Stale Connection'\r\n")
 	e.expectClosed()
 }
+
+// Guards against a session's handshake that reaches a node which has drained for longer than the grace: the connection was
+// begun before the drain, and the node's INFO comes after the grace.
+func TestNATSHandshakeDoesNotReachANodePastItsDrainGrace(t *testing.T) {
+	f := newFleet(t, 2, false, "")
+	f.connect().Close()
+	eventually(t, "the first session is gone", func() bool { return f.sessions() == 0 })
+	f.eachNode((*fakeserver.NATSNode).HoldInfo)
+	f.sendConnect()
+	draining := f.awaitingInfo()
+	f.nodes[draining].DrainUnannounced()
+	f.catalog.SetEndpoint(f.entry(draining, fakeserver.StateTerminating))
+	eventually(t, "the gateway has the list", f.catalog.IsListKnown)
+	time.Sleep(700 * time.Millisecond) // the grace is 500 ms
+	f.eachNode((*fakeserver.NATSNode).SendInfo)
+	eventually(t, "the session is at the other node", func() bool { return f.nodes[1-draining].ConnectionCount() > 0 })
+	if _, _, late := f.cluster.AttemptStats(); late > 0 {
+		t.Errorf("%d subscriptions reached a node past its drain grace", late)
+	}
+}
+
+// awaitingInfo waits for a connection that has had no INFO and returns its node.
+func (f *fleet) awaitingInfo() (node int) {
+	f.t.Helper()
+	eventually(f.t, "a connection awaits INFO", func() bool {
+		for i, n := range f.nodes {
+			if n.AwaitingInfoCount() > 0 {
+				node = i
+				return true
+			}
+		}
+		return false
+	})
+	return node
+}
--- a/internal/fakeserver/natsconn.go
+++ b/internal/fakeserver/natsconn.go
@@ -21,6 +21,7 @@
 	node   *NATSNode
 	socket net.Conn
 
+	greeted       bool // INFO was sent to it
 	connected     bool // it has sent CONNECT
 	noResponders  bool
 	echo          bool
@@ -53,6 +54,14 @@
 	c.queueChanged.Signal()
 }
 
+// greet sends the first INFO, unless that was done or the node holds it back.
+func (c *natsConn) greet() {
+	if !c.greeted && !c.node.holdsInfo {
+		c.greeted = true
+		c.push(c.node.info(), nil)
+	}
+}
+
 // disconnect closes the socket; the read loop then cleans up. It needs no lock.
 func (c *natsConn) disconnect() { _ = c.socket.Close() }
 
--- a/internal/fakeserver/natsnode.go
+++ b/internal/fakeserver/natsnode.go
@@ -25,9 +25,11 @@
 	conns        map[*natsConn]struct{}
 	draining     bool
 	drainStarted time.Time
+	unannounced  bool // its INFO does not say that it drains
 	hung         bool
 	dead         bool
 	ignoresPings bool
+	holdsInfo    bool           // it accepts connections and sends them no INFO
 	handler      RequestHandler // nil: echo at once
 }
 
@@ -85,6 +87,14 @@
 	}
 }
 
+// DrainUnannounced has the node counted as draining, which only the endpoint list says: it is not in lame duck mode.
+func (n *NATSNode) DrainUnannounced() {
+	n.cluster.mu.Lock()
+	defer n.cluster.mu.Unlock()
+	n.draining, n.unannounced = true, true
+	n.drainStarted = time.Now()
+}
+
 // Hang makes the node stop answering while its connections stay. It still records what it receives.
 func (n *NATSNode) Hang() {
 	n.cluster.mu.Lock()
@@ -100,6 +110,35 @@
 	n.ignoresPings = true
 }
 
+// HoldInfo makes the node accept connections without sending them INFO, until SendInfo.
+func (n *NATSNode) HoldInfo() {
+	n.cluster.mu.Lock()
+	defer n.cluster.mu.Unlock()
+	n.holdsInfo = true
+}
+
+// SendInfo sends INFO to the connections that have had none, and to all that follow.
+func (n *NATSNode) SendInfo() {
+	n.cluster.mu.Lock()
+	defer n.cluster.mu.Unlock()
+	n.holdsInfo = false
+	for c := range n.conns {
+		c.greet()
+	}
+}
+
+// AwaitingInfoCount returns the number of connections that have had no INFO.
+func (n *NATSNode) AwaitingInfoCount() (count int) {
+	n.cluster.mu.Lock()
+	defer n.cluster.mu.Unlock()
+	for c := range n.conns {
+		if !c.greeted {
+			count++
+		}
+	}
+	return count
+}
+
 // AnswerPings makes the node answer the PINGs that it has ignored, and all that follow.
 func (n *NATSNode) AnswerPings() {
 	n.cluster.mu.Lock()
@@ -154,7 +193,7 @@
 	return false
 }
 
-func (n *NATSNode) info() []byte { return appendServerInfo(nil, n.Name, n.draining) }
+func (n *NATSNode) info() []byte { return appendServerInfo(nil, n.Name, n.draining && !n.unannounced) }
 
 func (n *NATSNode) hasSubscription(subject []byte) bool {
 	for c := range n.conns {
@@ -187,7 +226,7 @@
 		return
 	}
 	n.conns[c] = struct{}{}
-	c.push(n.info(), nil)
+	c.greet()
 	n.wg.Go(c.writeLoop)
 	n.wg.Go(c.readLoop)
 }
--- a/internal/nats/backend/backend.go
+++ b/internal/nats/backend/backend.go
@@ -72,21 +72,29 @@
 // Send implements engine.Backend. It does not block.
 func (b *Backend) Send(a engine.Attempt) engine.ActiveAttempt {
 	if client, ok := a.Client.(RequestClient); ok {
-		r := &RequestAttempt{backend: b, attempt: a, client: client}
+		r := &RequestAttempt{backend: b, attempt: a, client: client, startedAt: time.Now()}
 		client.Conn().Do(r.start)
 		return r
 	}
 	return b.dial(a, a.Client.(SessionClient))
 }
 
-// connectTimeout is the timeout of a connection that has at most limit.
-func (b *Backend) connectTimeout(limit time.Duration) time.Duration {
-	if configured := b.options().ConnectTimeout; configured > 0 {
-		return min(limit, configured)
+// connectTimeout is the shortest of the timeouts that bound a dial; 0 is none.
+func (b *Backend) connectTimeout(limit, attemptLimit time.Duration) time.Duration {
+	for _, t := range []time.Duration{b.options().ConnectTimeout, attemptLimit} {
+		if t > 0 {
+			limit = min(limit, t)
+		}
 	}
 	return limit
 }
 
+// isTooLate reports whether an attempt may send nothing any more that its server does not have, at an age: its server may
+// have drained for longer than the grace.
+func isTooLate(a *engine.Attempt, age time.Duration) bool {
+	return a.ConnectTimeout > 0 && age > a.ConnectTimeout
+}
+
 // addr is the address at which a node accepts NATS clients.
 func (b *Backend) addr(listed string) string {
 	port := b.options().NodePort
--- a/internal/nats/backend/node_conn.go
+++ b/internal/nats/backend/node_conn.go
@@ -61,7 +61,7 @@
 // dial starts an attempt for a session.
 func (b *Backend) dial(a engine.Attempt, client SessionClient) *NodeConn {
 	n := &NodeConn{backend: b, attempt: a, client: client, loop: b.LoopState(client.Conn())}
-	timeout := b.connectTimeout(a.Timeout)
+	timeout := b.connectTimeout(a.Timeout, a.ConnectTimeout)
 	n.Start(func() *reactor.Conn { return b.conns.Dial(b.addr(a.Addr), timeout, n, client.Conn()) })
 	return n
 }
--- a/internal/nats/backend/node_frames.go
+++ b/internal/nats/backend/node_frames.go
@@ -86,6 +86,8 @@
 	switch {
 	case isFirst && info.LameDuck: // it would end the session as soon as it is set up
 		n.failHandshake(balancer.Rejected)
+	case isFirst && isTooLate(&n.attempt, n.Age()):
+		n.failHandshake(balancer.ConnectFailed)
 	case isFirst:
 		n.sendHandshake()
 	case info.LameDuck && n.client != nil:
--- a/internal/nats/backend/request.go
+++ b/internal/nats/backend/request.go
@@ -35,6 +35,8 @@
 	attempt engine.Attempt
 	client  RequestClient
 
+	startedAt time.Time
+
 	mu    sync.Mutex
 	ended bool
 
@@ -112,6 +114,10 @@
 	if r.hasEnded() {
 		return
 	}
+	if isTooLate(&r.attempt, time.Since(r.startedAt)) { // it waited for a shared connection
+		r.end(balancer.ConnectFailed)
+		return
+	}
 	n.lastSID++
 	r.conn, r.sid = n, string(strconv.AppendInt([]byte{gatewaySIDPrefix}, int64(n.lastSID), 10))
 	if n.requests == nil {
--- a/internal/nats/backend/shared.go
+++ b/internal/nats/backend/shared.go
@@ -40,7 +40,7 @@
 	n := &NodeConn{backend: b, loop: loop, shared: &sharedConn{key: key, connectFrame: connectFrame}}
 	n.attempt.Server = r.attempt.Server
 	loop.shared[key] = n
-	timeout := b.connectTimeout(sharedConnectTimeout)
+	timeout := b.connectTimeout(sharedConnectTimeout, 0)
 	n.Start(func() *reactor.Conn { return b.conns.Dial(key.addr, timeout, n, r.client.Conn()) })
 	n.timer = loop.After(sharedConnectTimeout, func() { n.failHandshake(balancer.ConnectFailed) })
 	return n
