Bound the warnings that recovery keeps of its peers

Nobody saw it at once: a gateway that recovers while discovery is away kept one warning for each distinct clock offset that a peer reported, and for each version in which peers conflict, and copied none away. An honest peer with a wrong clock is enough, since each report has a delay of its own.

Cause: warn compared whole warnings, the offset included. Ruled out: reports, which are kept one for each peer.

Change: one warning for each peer with its clock's largest offset, and the latest 16 versions that conflict.

--- a/internal/cluster/recovery/decision.go
+++ b/internal/cluster/recovery/decision.go
@@ -52,7 +52,8 @@
 	ColdStart bool
 	// Isolated says that no peer has answered.
 	Isolated bool
-	// Warnings are all inconsistencies found so far. The slice is shared with later decisions and must not be changed.
+	// Warnings are the inconsistencies found so far: of each peer's clock the largest offset, and of conflicting lists those
+	// of the latest versions. The slice is shared with later decisions and must not be changed.
 	Warnings []Warning
 }
 
--- a/internal/cluster/recovery/recovery.go
+++ b/internal/cluster/recovery/recovery.go
@@ -19,6 +19,9 @@
 	"time"
 )
 
+// maxConflictWarnings bounds the versions of which a warning is kept that there are different lists.
+const maxConflictWarnings = 16
+
 // Settings configure a Recovery.
 type Settings struct {
 	Name           string        // of this instance
@@ -89,7 +92,7 @@
 func (r *Recovery) receive(now time.Duration, report PeerReport) {
 	offset := report.Clock - now
 	if offset > r.settings.MaxClockSkew || offset < -r.settings.MaxClockSkew {
-		r.warn(PeerClockSkew{Peer: report.Peer, Offset: offset})
+		r.warnOfClockSkew(PeerClockSkew{Peer: report.Peer, Offset: offset})
 	}
 	r.reports[report.Peer] = report
 }
@@ -119,3 +122,39 @@
 		r.warnings = append(r.warnings, w)
 	}
 }
+
+// warnOfClockSkew keeps one warning for each peer, that with the largest offset: a peer's reports differ by their delays, and
+// its clock may change.
+func (r *Recovery) warnOfClockSkew(w PeerClockSkew) {
+	i := slices.IndexFunc(r.warnings, func(other Warning) bool {
+		skew, ok := other.(PeerClockSkew)
+		return ok && skew.Peer == w.Peer
+	})
+	if i < 0 {
+		r.warn(w)
+		return
+	}
+	if w.Offset.Abs() > r.warnings[i].(PeerClockSkew).Offset.Abs() {
+		r.warnings = slices.Clone(r.warnings) // decisions share it
+		r.warnings[i] = w
+	}
+}
+
+// warnOfConflict keeps the warnings of the latest maxConflictWarnings versions.
+func (r *Recovery) warnOfConflict(w ConflictingLists) {
+	if slices.Contains(r.warnings, Warning(w)) {
+		return
+	}
+	isConflict := func(other Warning) bool { _, ok := other.(ConflictingLists); return ok }
+	count := 0
+	for _, other := range r.warnings {
+		if isConflict(other) {
+			count++
+		}
+	}
+	if count >= maxConflictWarnings {
+		oldest := slices.IndexFunc(r.warnings, isConflict)
+		r.warnings = slices.Delete(slices.Clone(r.warnings), oldest, oldest+1) // decisions share it
+	}
+	r.warn(w)
+}
--- a/internal/cluster/recovery/recovery_test.go
+++ b/internal/cluster/recovery/recovery_test.go
@@ -249,6 +249,43 @@
 	}
 }
 
+// Guards against memory that grows with each report of a peer whose clock changes, or which conflicts with another in one
+// version after the other. Of each clock the largest offset is kept, and earlier decisions keep their warnings.
+func TestWarningsAreBounded(t *testing.T) {
+	r := New(testSettings(3))
+	r.Handle(now, Startup{holding(41)})
+	r.Handle(now, PeerReport{"p1", now, holding(41)})
+	r.Handle(now, PeerReport{"p2", now, holding(41)})
+	first, ok := r.Handle(now, PeerReport{"p0", now - time.Hour, holding(41)})
+	if !ok || len(first.Warnings) != 1 {
+		t.Fatalf("decided %v with %v", ok, first.Warnings)
+	}
+	var last Decision
+	const reports = 2000
+	for i := range reports {
+		conflicting := holding(int64(100 + i))
+		r.Handle(now, PeerReport{"p1", now, conflicting})
+		conflicting.Hash++
+		if d, changed := r.Handle(now, PeerReport{"p0", now - time.Hour - time.Duration(i), conflicting}); changed {
+			last = d
+		}
+		agreed := holding(int64(100 + i))
+		if d, changed := r.Handle(now, PeerReport{"p2", now, agreed}); changed {
+			last = d
+		}
+	}
+	if diff := cmp.Diff([]Warning{PeerClockSkew{Peer: "p0", Offset: -time.Hour}}, first.Warnings); diff != "" {
+		t.Errorf("warnings of the first decision (-want +got):\n%s", diff)
+	}
+	want := []Warning{PeerClockSkew{Peer: "p0", Offset: -time.Hour - (reports - 1)}}
+	for version := int64(100 + reports - maxConflictWarnings); version < 100+reports; version++ {
+		want = append(want, ConflictingLists{Version: version})
+	}
+	if diff := cmp.Diff(want, last.Warnings); diff != "" {
+		t.Errorf("warnings of the last decision (-want +got):\n%s", diff)
+	}
+}
+
 // Discovery's update ends the wait for peers at once. Reports under the instance's own name or a foreign one don't.
 func TestDiscoveryUpdateEndsPeerTimeout(t *testing.T) {
 	r := New(testSettings(2))
--- a/internal/cluster/recovery/selection.go
+++ b/internal/cluster/recovery/selection.go
@@ -77,7 +77,7 @@
 func (r *Recovery) warnOfConflicts(candidates []*candidate) {
 	for i := 1; i < len(candidates); i++ {
 		if version := candidates[i].version; version == candidates[i-1].version {
-			r.warn(ConflictingLists{Version: version})
+			r.warnOfConflict(ConflictingLists{Version: version})
 		}
 	}
 }
