Level large loads at once, and end a placement's search that finds no plan

Cause: the levelling moved blocks up to the next node's level, one unit at least and, between nearly equal nodes, at most. MaxSteps counts flows, of which it computes none, and ended a search only once a plan was known. Ruled out: the flow network.

Change: the level that all nodes reach is found by bisection, and at most a unit a node is left to move singly.

--- a/internal/cli/plan.go
+++ b/internal/cli/plan.go
@@ -26,7 +26,7 @@
 					list,
 					&cli.StringFlag{Name: "out", Usage: "plan `FILE` to write", Required: true},
 					&cli.StringFlag{Name: "from", Usage: "plan `FILE` in force, from which moves are counted"},
-					&cli.IntFlag{Name: "steps", Usage: "networks to solve at most for a plan; 0: until it is proven best"},
+					&cli.IntFlag{Name: "steps", Usage: "networks to solve at most for a better plan, and 16 times as many for a first one; 0: until it is proven best"},
 				},
 				Action: p.solvePlan,
 			},
--- a/placement/conflict.go
+++ b/placement/conflict.go
@@ -17,8 +17,9 @@
 }
 
 // explain finds a minimal set of constraints that conflict: one after another is left out, and stays out if the rest still
-// conflicts. It has no bound on the steps.
+// conflicts. Its steps have a bound of their own, as those of a search without a plan.
 func (s *planner) explain() *InfeasibleError {
+	s.beginSearch()
 	s.maxSteps = 0
 	conflict := slices.Clone(s.problem.Constraints)
 	for i := 0; i < len(conflict); {
--- a/placement/distribute.go
+++ b/placement/distribute.go
@@ -32,8 +32,10 @@
 	open   []int   // heap of positions in nodes
 }
 
-// move changes the loads by an amount in total, or to their limits. Units move in blocks as large as the order allows.
+// move changes the loads by an amount in total, or to their limits: first to the level that all nodes reach, then by the units
+// whose marks are equal there, at most one a node.
 func (l *leveller) move(amount int64) {
+	amount -= l.moveToLevel(amount)
 	for i := range l.nodes {
 		if l.room(i) > 0 {
 			l.open = append(l.open, i)
@@ -42,9 +44,8 @@
 	heap.Init(l)
 	for amount > 0 && len(l.open) > 0 {
 		node := l.open[0]
-		block := min(l.block(node, amount), l.room(node), amount)
-		l.loads[node] += l.sign * block
-		amount -= block
+		l.loads[node] += l.sign
+		amount--
 		if l.room(node) > 0 {
 			heap.Fix(l, 0)
 		} else {
@@ -53,31 +54,56 @@
 	}
 }
 
-// room is how many units a node is from its limit.
-func (l *leveller) room(node int) int64 { return (l.limits[node] - l.loads[node]) * l.sign }
-
-// block is how many units the first node may take at once.
-func (l *leveller) block(node int, amount int64) int64 {
-	if len(l.open) == 1 {
-		return amount
+// moveToLevel moves all units whose marks are on the near side of the furthest level that takes no more than an amount, and
+// returns how many these are. Levels are ratios to fullnessScale, finer than two marks can differ.
+func (l *leveller) moveToLevel(amount int64) (moved int64) {
+	// Whether a level is far enough changes once, from the nearest to the furthest.
+	low, high := uint64(0), uint64(fullnessScale)
+	for low < high {
+		middle := low + (high-low)/2
+		if l.sign > 0 {
+			middle++ // the highest level that takes at most the amount
+		}
+		isWithin := l.unitsTo(middle) <= amount
+		switch {
+		case l.sign > 0 && isWithin:
+			low = middle
+		case l.sign > 0:
+			high = middle - 1
+		case isWithin: // the lowest level that leaves enough
+			high = middle
+		default:
+			low = middle + 1
+		}
+	}
+	for i := range l.nodes {
+		target := l.loadAtLevel(i, low)
+		moved += (target - l.loads[i]) * l.sign
+		l.loads[i] = target
 	}
-	// While much is left, blocks small against it can't overshoot the level that all nodes will reach.
-	if limit := amount / int64(4*len(l.open)); limit > 1 {
-		return l.blockToNext(node, limit)
+	return moved
+}
+
+// unitsTo is how many units move if all nodes reach a level.
+func (l *leveller) unitsTo(level uint64) (units int64) {
+	for i := range l.nodes {
+		units += (l.loadAtLevel(i, level) - l.loads[i]) * l.sign
 	}
-	return 1
+	return units
 }
 
-// blockToNext is how many units, limit at most, bring the first node to the mark of the one that follows it.
-func (l *leveller) blockToNext(node int, limit int64) int64 {
-	follower := l.open[1]
-	if len(l.open) > 2 && l.before(l.open[2], follower) {
-		follower = l.open[2]
+// loadAtLevel is a node's load once it has reached a level, or its limit before that.
+func (l *leveller) loadAtLevel(node int, level uint64) int64 {
+	load := loadAt(level, max(l.nodes[node].Capacity, 1))
+	if l.sign > 0 {
+		return min(max(load, l.loads[node]), max(l.limits[node], l.loads[node]))
 	}
-	level := l.mark(follower).of(max(l.nodes[node].Capacity, 1))
-	return min(max((level-l.loads[node])*l.sign, 1), limit)
+	return max(min(load, l.loads[node]), min(l.limits[node], l.loads[node]))
 }
 
+// room is how many units a node is from its limit.
+func (l *leveller) room(node int) int64 { return (l.limits[node] - l.loads[node]) * l.sign }
+
 // mark is the ratio to which a node is full with its next unit, or with the one that it would give up.
 func (l *leveller) mark(node int) Ratio {
 	load := l.loads[node]
--- /dev/null
+++ b/placement/distribute_test.go
@@ -0,0 +1,150 @@
+package placement
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// distributeByUnits is distribute with one unit moved after the other.
+func distributeByUnits(nodes []Node, capacities []int64, load int64) []int64 {
+	loads := make([]int64, len(nodes))
+	total := int64(0)
+	for i, n := range nodes {
+		loads[i] = min(n.CurrentLoad, capacities[i])
+		total += loads[i]
+	}
+	for ; total < load; total++ {
+		best := -1
+		for i := range nodes {
+			isFirst := best < 0 || Ratio{loads[i] + 1, max(nodes[i].Capacity, 1)}.less(Ratio{loads[best] + 1, max(nodes[best].Capacity, 1)})
+			if loads[i] < capacities[i] && isFirst {
+				best = i
+			}
+		}
+		if best < 0 {
+			return loads
+		}
+		loads[best]++
+	}
+	for ; total > load; total-- {
+		best := -1
+		for i := range nodes {
+			isFirst := best < 0 || !Ratio{loads[i], max(nodes[i].Capacity, 1)}.less(Ratio{loads[best], max(nodes[best].Capacity, 1)})
+			if loads[i] > 0 && isFirst {
+				best = i
+			}
+		}
+		if best < 0 {
+			return loads
+		}
+		loads[best]--
+	}
+	return loads
+}
+
+func TestDistributeMatchesSingleUnits(t *testing.T) {
+	for seed := range uint64(4000) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		largest := []int64{3, 12, 90}[rng.IntN(3)]
+		var nodes []Node
+		var capacities []int64
+		total := int64(0)
+		for i := range 1 + rng.IntN(6) {
+			n := Node{ID: fmt.Sprint("n", i), Capacity: rng.Int64N(largest + 1), CurrentLoad: rng.Int64N(largest + 1)}
+			nodes, capacities = append(nodes, n), append(capacities, rng.Int64N(n.Capacity+1))
+			if rng.IntN(2) == 0 {
+				capacities[i] = n.Capacity
+			}
+			total += capacities[i]
+		}
+		load := rng.Int64N(total + 2)
+		want := distributeByUnits(nodes, capacities, load)
+		if diff := cmp.Diff(want, distribute(nodes, capacities, load)); diff != "" {
+			t.Fatalf("seed %d: %d units over %+v within %v (-want +got):\n%s", seed, load, nodes, capacities, diff)
+		}
+	}
+}
+
+// Guards against loads of nearly equal nodes that are levelled one unit at a time.
+func TestLargeLoadsAreDistributedInTime(t *testing.T) {
+	for _, current := range []int64{0, MaxLoad / 2, MaxLoad} {
+		var nodes []Node
+		var capacities []int64
+		for i := range int64(50) {
+			nodes = append(nodes, Node{ID: fmt.Sprint("n", i), Capacity: MaxLoad - i%3, CurrentLoad: min(current+i, MaxLoad-i%3)})
+			capacities = append(capacities, MaxLoad-i%3)
+		}
+		begun := time.Now()
+		load := int64(50) * (MaxLoad / 4 * 3)
+		total := int64(0)
+		for _, l := range distribute(nodes, capacities, load) {
+			total += l
+		}
+		if total != load {
+			t.Errorf("%d units are distributed of %d", total, load)
+		}
+		if elapsed := time.Since(begun); elapsed > time.Second {
+			t.Errorf("it took %v", elapsed)
+		}
+	}
+}
+
+// Guards against a solver that does not end with loads near the largest that are allowed.
+func TestLargeProblemsAreSolvedInTime(t *testing.T) {
+	p := RandomProblem(24, 4, 3)
+	for i := range p.Nodes {
+		p.Nodes[i].Capacity = MaxLoad - int64(i%2)
+		p.Nodes[i].CurrentLoad = MaxLoad / 2
+	}
+	for i := range p.Demands {
+		p.Demands[i].Load = MaxLoad / int64(len(p.Demands)) * 20
+		if p.Demands[i].Load > MaxLoad {
+			p.Demands[i].Load = MaxLoad - int64(i)
+		}
+	}
+	begun := time.Now()
+	plan, err := Solve(p, Options{MaxSteps: 1000})
+	var infeasible *InfeasibleError
+	if err != nil && !errors.As(err, &infeasible) {
+		t.Fatal(err)
+	}
+	if plan != nil {
+		checkPlan(t, p, plan)
+	}
+	if elapsed := time.Since(begun); elapsed > 20*time.Second {
+		t.Errorf("it took %v", elapsed)
+	}
+}
+
+// Guards against a search without a bound where no plan is found: each class is to be in one zone alone, none of which has
+// room for all, with as many ways to try as there are zones to the power of the constraints.
+func TestSearchWithoutAPlanEndsWithItsSteps(t *testing.T) {
+	p := &Problem{Zones: []string{"a", "b", "c", "d", "e", "f"}, DefaultCost: 1}
+	for i, zone := range p.Zones {
+		p.Nodes = append(p.Nodes, Node{ID: fmt.Sprint("n", i), Zone: zone, Capacity: 10})
+	}
+	for class := range 7 {
+		name := fmt.Sprint("c", class)
+		p.Demands = append(p.Demands, Demand{Zone: p.Zones[class%6], Class: name, Load: 8})
+		p.Constraints = append(p.Constraints,
+			Constraint{Name: "one zone " + name, Kind: Together, Classes: []string{name}},
+			Constraint{Name: "all " + name, Kind: Carry, Class: name})
+	}
+	_, err := Solve(p, Options{MaxSteps: 10})
+	var exceeded *StepLimitError
+	if !errors.As(err, &exceeded) {
+		t.Fatalf("ended with %v", err)
+	}
+	if exceeded.Steps < minSearchSteps || exceeded.Steps > 3*minSearchSteps {
+		t.Errorf("%d steps were taken", exceeded.Steps)
+	}
+	if text := exceeded.Error(); !strings.Contains(text, "steps") || exceeded.Retryable() {
+		t.Errorf("the error says %q", text)
+	}
+}
--- a/placement/search.go
+++ b/placement/search.go
@@ -70,6 +70,9 @@
 			proven = false
 			break
 		}
+		if best == nil && s.exceedsSearch() {
+			return nil
+		}
 		b := open[len(open)-1]
 		open = open[:len(open)-1]
 		c := s.relax(b)
@@ -93,10 +96,10 @@
 	return plan
 }
 
-// feasible reports whether any plan meets the constraints.
+// feasible reports whether any plan meets the constraints. It reports false where the search has exceeded its steps.
 func (s *planner) feasible(constraints []Constraint) bool {
 	open := []branch{newBranch(constraints)}
-	for len(open) > 0 {
+	for len(open) > 0 && !s.exceedsSearch() {
 		b := open[len(open)-1]
 		open = open[:len(open)-1]
 		c, _ := s.relaxWithoutGoals(b)
