Make a plan's file durable before it replaces the one before

After a crash a plan's file could be empty: it was renamed into place before its content was on the disk.

Cause: the plan was written and renamed without a sync. Found by looking for files that are written in two steps.

Measured: the tests of the command pass; a loss of power was not played, as the command writes to the real file system.

--- a/internal/cli/plansolve.go
+++ b/internal/cli/plansolve.go
@@ -4,10 +4,11 @@
 	"context"
 	"fmt"
 	"io"
-	"os"
+	"path/filepath"
 	"strings"
 	"time"
 
+	"github.com/google/renameio/v2"
 	"github.com/urfave/cli/v3"
 
 	"example.org/milletvane/config/operator"
@@ -85,13 +86,10 @@
 	return contingency
 }
 
-// writePlan replaces a file: whoever reads it meanwhile has the old plan or the new one, and no part of either.
+// writePlan replaces a file: whoever reads it meanwhile, or after a crash, has the old plan or the new one, and no part of
+// either.
 func writePlan(file string, plan *operator.Plan) error {
-	temporary := file + ".new"
-	if err := os.WriteFile(temporary, plan.Marshal(), 0o644); err != nil {
-		return err
-	}
-	return os.Rename(temporary, file)
+	return renameio.WriteFile(file, plan.Marshal(), 0o644, renameio.WithTempDir(filepath.Dir(file)))
 }
 
 func printSolved(w io.Writer, plan *operator.Plan, best *placement.Plan, elapsed time.Duration) error {
