Keep an endpoint list's version on its way to the engine and to a hot restart's successor

Callers saw requests sent to a server that had drained, in an upgrade while discovery was away: the successor took an older list of its configuration for newer than the one that its predecessor had written.

Change: the version stays.

Failed before: the version never came, and without that check a client was sent to the drained server; passes now.

--- a/gateway/hotrestart.go
+++ b/gateway/hotrestart.go
@@ -92,6 +92,7 @@
 	g.engine.Post(engine.StateRequested{Deliver: func(s engine.State) { answer <- s }})
 	select {
 	case state := <-answer:
+		g.weights.restoreListed(state.Servers) // a successor applies its own plan
 		g.stateDir.Write(hotrestart.Snapshot{
 			WrittenAt: time.Now(), Ready: ready, KnownServers: g.maintenance.Known(), State: state,
 		})
--- a/gateway/hotrestart_test.go
+++ b/gateway/hotrestart_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"path/filepath"
@@ -15,9 +17,12 @@
 
 	"golang.org/x/sys/unix"
 
+	"example.org/milletvane/balancer"
 	"example.org/milletvane/config"
 	"example.org/milletvane/gateway"
+	"example.org/milletvane/internal/discovery"
 	"example.org/milletvane/internal/fakeserver"
+	"example.org/milletvane/internal/hotrestart"
 )
 
 // platform holds the clients' listening socket and starts processes of one gateway on it.
@@ -32,9 +37,10 @@
 
 // process is one of them.
 type process struct {
-	admin string
-	stop  context.CancelFunc
-	done  chan error
+	admin    string
+	stateDir string
+	stop     context.CancelFunc
+	done     chan error
 }
 
 func newPlatform(t *testing.T) *platform {
@@ -84,18 +90,25 @@
 }
 
 func (p *platform) start() *process {
+	p.t.Helper()
+	return p.startWithList("null")
+}
+
+// startWithList starts a process whose configuration has an endpoint list, as JSON.
+func (p *platform) startWithList(known string) *process {
 	p.t.Helper()
 	fd := duplicate(p.t, p.listener)
 	r := &process{admin: freeAddr(p.t), done: make(chan error, 1)}
 	env := map[string]string{config.EnvInheritedSocket: strconv.Itoa(fd), config.EnvTempDir: p.temp, config.EnvAdmin: r.admin}
-	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"settings":{"caps":{"max_attempts":2,"retry_after":true,
+	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"known":%s,"settings":{"caps":{"max_attempts":2,"retry_after":true,
 	 "max_retry_after_ns":1000000000},"discovery":"ask","family_info":{"mode":"pass"},
 	 "classes":[{"name":"c","effect":"idempotent","group":"all","give_up_ns":100000000,"slo_ns":90000000000}]}}`,
-		p.listener.Addr(), p.catalog.Addr())
+		p.listener.Addr(), p.catalog.Addr(), known)
 	c, err := config.Parse([]byte(text), func(k string) string { return env[k] })
 	if err != nil {
 		p.t.Fatal(err)
 	}
+	r.stateDir = c.StateDir
 	g, err := gateway.New(*c, gateway.WithLogger(slog.New(slog.DiscardHandler)))
 	if err != nil {
 		p.t.Fatal(err)
@@ -294,3 +307,30 @@
 	})
 	held.close() // the stop waits for it
 }
+
+// Guards against a successor that goes by an older list of its configuration, though the process before it has written a newer
+// one: while discovery is away, it would send new requests to a server that has drained.
+func TestSuccessorGoesByThePredecessorsNewerList(t *testing.T) {
+	p := newPlatform(t)
+	older, err := json.Marshal(discovery.EndpointList{Version: 1, Complete: true, Endpoints: []discovery.Endpoint{
+		{ID: "s-00000001", Addr: p.server.l.Addr().String(), State: fakeserver.StateInService, Weight: 1},
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	old := p.startWithList(string(older))
+	p.catalog.SetEndpoint(p.node(fakeserver.StateTerminating))
+	p.eventually("known to the first process", p.catalog.IsListKnown)
+	p.eventually("written for the next process", func() bool {
+		reader := hotrestart.NewStateDir(old.stateDir, hotrestart.Process{StartedAt: math.MaxInt64}, slog.New(slog.DiscardHandler))
+		snapshot, ok := reader.ReadPredecessor(time.Now())
+		return ok && snapshot.State.Servers[0].State == balancer.Draining && snapshot.State.Version == 2
+	})
+	p.catalog.Close()
+	p.startWithList(string(older))
+	for range 12 { // each process takes some
+		client := p.dial()
+		client.send(p.opening())
+		client.expectFinal("BUSY")
+	}
+}
--- a/gateway/weights.go
+++ b/gateway/weights.go
@@ -46,6 +46,17 @@
 	w.postLocked(w.applier.Apply(w.clock(), l))
 }
 
+// restoreListed gives servers their weights as listed, in place of the plan's.
+func (w *planWeights) restoreListed(servers []engine.Server) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i := range servers {
+		if weight, ok := w.applier.ListedWeight(servers[i].Name); ok {
+			servers[i].Capacity = weight
+		}
+	}
+}
+
 // refresh posts the weights that have changed with time alone.
 func (w *planWeights) refresh() {
 	w.mu.Lock()
--- a/internal/planapply/applier.go
+++ b/internal/planapply/applier.go
@@ -67,7 +67,15 @@
 			a.servers[server.Name] = server
 		}
 	}
-	return a.update(list.Mode, list.Servers)
+	applied, source := a.update(list.Mode, list.Servers)
+	applied.Version = list.Version
+	return applied, source
+}
+
+// ListedWeight returns the weight of a server as listed, whatever the plan gives it; ok is false if it is not listed.
+func (a *Applier) ListedWeight(name string) (weight float64, ok bool) {
+	server, ok := a.servers[name]
+	return server.Capacity, ok
 }
 
 // update returns the changed servers with their weights; if the weights of all have changed, every server instead.
--- a/internal/planapply/applier_test.go
+++ b/internal/planapply/applier_test.go
@@ -222,3 +222,22 @@
 		t.Errorf("once warm: next warmup at %v", at)
 	}
 }
+
+// Guards against a list that loses its version on the way to the engine.
+func TestAppliedListsKeepTheirVersion(t *testing.T) {
+	a := Applier{}
+	list := completeList(testServer(1, "a", balancer.Ready))
+	list.Version = 41
+	if got, _ := a.Apply(0, list); got.Version != 41 {
+		t.Errorf("version %d, want 41", got.Version)
+	}
+	if got, _ := a.SetPlan(0, testPlan(), "a"); got.Version != 0 {
+		t.Errorf("weights alone have version %d", got.Version)
+	}
+	if weight, ok := a.ListedWeight("n1"); !ok || weight != nominalWeight {
+		t.Errorf("listed weight %v, %v", weight, ok)
+	}
+	if _, ok := a.ListedWeight("n9"); ok {
+		t.Error("a server that is not listed has a weight")
+	}
+}
