Add a soak of planned stops with real processes whose clients go on until the kill

Stops were tested one crossing at a time; what a series of signals, a crowd, a second process and troubled servers do together was not, and clients in the tests did not go on until the platform's kill.

A run in which the soak's own process was late is void.

--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -31,7 +31,7 @@
 			planRunCommand(), planDrawCommand(), planCurveCommand(),
 			natsDrainCommand(),
 			plainProxyCommand(), lineGatewayCommand(), natsGatewayCommand(),
-			silentWatchCommand(), fleetFaultsCommand(),
+			silentWatchCommand(), fleetFaultsCommand(), stopSoakCommand(),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {}, // Run itself chooses the exit code
 	}
