Send a long list to a peer over several answers, and ask peers in a fixed order

Callers saw an instance without a list, or on its old one, after a loss of power while discovery was away, though peers held the newer: lists of more than some 450 servers never came over whole, and shorter ones late where packets were lost.

Cause: each answer queued all parts of a state; a link takes 64 messages and 64 KiB a second, and dropped the same last parts each time, with the instance's own requests. Ruled out: the rule of selection and stale incarnations.

Change: an answer has eight parts and the next one goes on; peers are asked in the order of their names.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -66,6 +66,7 @@
 	servingSince time.Duration // 0: it recovers
 	list         endpointList
 	assemblies   map[string]*assembly            // by peer
+	nextPart     map[string]int                  // by peer: where the next answer with this instance's state begins
 	peerLists    map[string][]discovery.Endpoint // of peers that have sent their whole state
 	shedder      *loadshed.Shedder               // nil: nothing is shed
 	loadReports  uint64                          // sent so far
@@ -88,6 +89,7 @@
 		decisions:  make(chan recovery.Decision, maxPendingDecisions),
 		list:       endpointList{byID: map[string]discovery.Endpoint{}},
 		assemblies: map[string]*assembly{},
+		nextPart:   map[string]int{},
 		peerLists:  map[string][]discovery.Endpoint{},
 	}
 	if o.Priorities > 0 {
--- a/internal/cluster/exchange.go
+++ b/internal/cluster/exchange.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 
 	"example.org/milletvane/internal/cluster/loadshed"
 	"example.org/milletvane/internal/cluster/recovery"
@@ -34,25 +36,33 @@
 // broadcast sends a message to all peers. The caller holds the lock.
 func (c *Cluster) broadcast(m message) {
 	body := encode(m)
-	for name := range c.opts.Peers {
+	for _, name := range c.peerNames() {
 		c.transport.Send(name, body)
 	}
 }
 
+// peerNames returns the names of the peers in a fixed order, so that simulated runs are reproducible.
+func (c *Cluster) peerNames() []string { return slices.Sorted(maps.Keys(c.opts.Peers)) }
+
 // requestStates asks the peers whose state has not come yet.
 func (c *Cluster) requestStates() {
 	body := encode(message{Kind: kindStateRequest})
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for name := range c.opts.Peers {
+	for _, name := range c.peerNames() {
 		if _, ok := c.peerLists[name]; !ok {
 			c.transport.Send(name, body)
 		}
 	}
 }
 
+// maxPartsPerAnswer keeps answers to requests that come every stateRequestInterval within the bytes a second of a link. More
+// would fill its queue, and what is dropped there would be the same parts each time.
+const maxPartsPerAnswer = 8
+
 // sendState answers a request with what this instance holds by discovery or its own disk. What it uses by its peers is
-// left out.
+// left out. A state of more than maxPartsPerAnswer parts takes several requests: each answer goes on where the last one to
+// that peer ended.
 func (c *Cluster) sendState(to string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -70,9 +80,12 @@
 	if c.servingSince > 0 {
 		state.UptimeMS = (now - c.servingSince).Milliseconds()
 	}
-	for _, body := range splitState(state, endpoints) {
-		c.transport.Send(to, body)
+	parts := splitState(state, endpoints)
+	first := c.nextPart[to]
+	for i := range min(len(parts), maxPartsPerAnswer) {
+		c.transport.Send(to, parts[(first+i)%len(parts)])
 	}
+	c.nextPart[to] = (first + min(len(parts), maxPartsPerAnswer)) % len(parts)
 }
 
 // receiveState takes a part of a peer's state, and passes the state to the recovery once it is complete.
--- a/internal/cluster/soak_test.go
+++ b/internal/cluster/soak_test.go
@@ -286,3 +286,42 @@
 	}
 	return nil
 }
+
+// Guards against a list that never reaches a peer whole: its parts fill the queue of the link, which drops the same ones with
+// each answer. The list is the longest that is sent, or has one part more than an answer.
+func TestLongListsReachAPeerWhole(t *testing.T) {
+	for _, servers := range []int{60, 450, 1300} {
+		for _, lossRate := range []float64{0, 0.2} {
+			t.Run(fmt.Sprintf("%d servers, loss %v", servers, lossRate), func(t *testing.T) {
+				s := newSoak(1)
+				s.net.Faults = simnet.Faults{MaxDelay: 50 * time.Millisecond, LossRate: lossRate}
+				s.names = []string{"a", "b", "c"}
+				for _, name := range s.names {
+					s.disks[name] = faultfs.New(1)
+					noError(t, s.start(name))
+				}
+				for _, name := range s.names[:2] {
+					s.instances[name].UpdateEndpoints(completeList(newVersion, servers))
+				}
+				s.advance(40 * time.Second)
+				if list := s.lists["c"]; list == nil || len(list.Endpoints) != servers {
+					t.Errorf("the third instance uses %d servers of %d", listLength(list), servers)
+				}
+			})
+		}
+	}
+}
+
+func listLength(list *discovery.EndpointList) int {
+	if list == nil {
+		return 0
+	}
+	return len(list.Endpoints)
+}
+
+func noError(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
