Tell a changed byte of a log's last record from a torn write, whatever its sectors hold

Nobody saw it: after a fault of the disk the last acknowledged record could be dropped as a torn write, where the log should not open and name the file. It took a record, or the beginning of a frame header, that is all zeros on the disk up to a sector's end.

Cause: a frame with a wrong checksum and a sector of zeros counts as one that was never written whole, and a sound one could have such sectors. Ruled out: frames before the last, which their successors prove durable.

Change: a record that would have a sector of zeros is written with another mask, which stands in the unused byte of its length; a header that is right but for one byte outside its zeros was changed later.

--- a/internal/wal/filelog.go
+++ b/internal/wal/filelog.go
@@ -107,17 +107,17 @@
 // writeBatch writes records and syncs. With an error none of them is acknowledged: a NoSpaceError where the segment is as
 // before, a WriteFailedError where its content is unknown.
 func (l *FileLog) writeBatch(batch []*appendRequest) error {
+	if l.active.file == nil || l.active.size > l.opts.SegmentBytes {
+		if err := l.roll(); err != nil {
+			return err
+		}
+	}
 	l.buf = l.buf[:0]
 	number := l.last
 	for _, r := range batch {
 		number++
 		r.number = number
-		l.buf = appendFrame(l.buf, number, l.last, r.record)
-	}
-	if l.active.file == nil || l.active.size > l.opts.SegmentBytes {
-		if err := l.roll(); err != nil {
-			return err
-		}
+		l.buf = appendFrame(l.buf, number, l.last, r.record, int(l.active.size)+len(l.buf))
 	}
 	if _, err := l.active.file.Write(l.buf); err != nil {
 		// A part of the batch may be there. It is removed, so that the next record starts where this batch did.
