Share the set-up of full groups in the tests of descriptors, and correct a doc comment

Two tests of the reactor filled a group's budget with the same lines, and the comment of drawMilliseconds had another name.

Change: fullGroup fills the budget for both; what they check is the same. The comment names the function and its bounds.

--- a/internal/experiment/stopscenario.go
+++ b/internal/experiment/stopscenario.go
@@ -86,7 +86,7 @@
 	rng        *rand.Rand // for what is drawn during the run, by one goroutine
 }
 
-// milliseconds draws a duration.
+// drawMilliseconds draws a duration between two, both included.
 func drawMilliseconds(rng *rand.Rand, from, to int) time.Duration {
 	return time.Duration(from+rng.IntN(to-from+1)) * time.Millisecond
 }
--- a/internal/reactor/descriptors_test.go
+++ b/internal/reactor/descriptors_test.go
@@ -38,14 +38,7 @@
 // bytes to write, and those that are not closing do not.
 func TestDialMakesRoomInTheDescriptorBudget(t *testing.T) {
 	const budget = 4
-	g := newGroup(t, 1)
-	g.SetDescriptorBudget(budget)
-	addr, conns := pausedListener(t, g, nil)
-	var ins []*Conn
-	for range budget {
-		dial(t, addr)
-		ins = append(ins, await(t, conns))
-	}
+	g, _, _, ins := fullGroup(t, budget)
 	noError(t, ins[0].Send(make([]byte, 8<<20))) // more than the kernel takes
 	ins[0].Close()
 	ins[1].Close()
@@ -68,14 +61,7 @@
 // accepted once there is room again.
 func TestFullBudgetLeavesClientsInTheAcceptQueue(t *testing.T) {
 	const budget = 3
-	g := newGroup(t, 1)
-	g.SetDescriptorBudget(budget)
-	addr, conns := pausedListener(t, g, nil)
-	var ins []*Conn
-	for range budget {
-		dial(t, addr)
-		ins = append(ins, await(t, conns))
-	}
+	g, addr, conns, ins := fullGroup(t, budget)
 	dial(t, addr)
 	select {
 	case <-conns:
@@ -167,6 +153,19 @@
 	}
 }
 
+// fullGroup returns a group whose descriptor budget is used up by connections, with a listener that has more come to conns.
+func fullGroup(t *testing.T, budget int) (g *Group, addr string, conns chan *Conn, ins []*Conn) {
+	t.Helper()
+	g = newGroup(t, 1)
+	g.SetDescriptorBudget(budget)
+	addr, conns = pausedListener(t, g, nil)
+	for range budget {
+		dial(t, addr)
+		ins = append(ins, await(t, conns))
+	}
+	return g, addr, conns, ins
+}
+
 // burstOf has clients connect while the loops are busy, so that all are accepted at one event or few.
 func burstOf(t *testing.T, g *Group, addr string, n int) []net.Conn {
 	t.Helper()
