--- a/review/standins/falseflush.go
+++ b/review/standins/falseflush.go
@@ -2,58 +2,75 @@
 
 import (
 	"fmt"
-	"strings"
 	"sync"
 	"time"
 )
 
-// falseFlush has a node stand still and die while a client publishes and flushes.
+// falseFlush has clients publish messages one by one, each followed by PING, and wait for the PONG before the next. One node
+// stands still for a moment and then dies.
 func falseFlush(t *test, b *balancer) (violations []string) {
 	cl := newCluster(t.rec)
-	for range 2 {
+	for range 3 {
 		cl.startNode()
 	}
 	var mu sync.Mutex
-	taken := map[string]bool{}
-	cl.services["serie.hecha."] = func(m message) {
+	taken := map[string]bool{} // by payload
+	cl.services["ajuste.plan."] = func(m message) {
 		mu.Lock()
 		defer mu.Unlock()
 		taken[string(m.payload)] = true
-		t.rec.logf("nodes: %s %q is taken", m.subject, m.payload)
 	}
 	b.disc = startDiscovery(t.rec, cl.members())
 	b.operator = `  (cluster true)
-  (session (class "plan-diario") (key user) (wait "2s"))`
+  (session (class "ajuste-plan") (key user) (wait "2s"))`
 	b.start()
-	c := connect(t.rec, b.nats, "alba")
-	c.subscribe("_INBOX.alba.*", "1")
-	c.flush()
-	old := cl.holder("alba", "_INBOX.alba.*")
-	if old == nil {
-		cannotRun("the subscription is at no node")
+	byNode, fullest := subscribeAll(t, b, cl, "aviso.")
+	var wg sync.WaitGroup
+	end := time.Now().Add(4 * time.Second)
+	for _, clients := range byNode {
+		for _, c := range clients {
+			wg.Go(func() {
+				for i := 1; time.Now().Before(end); i++ {
+					text := fmt.Sprintf("%s: plan %d", c.user, i)
+					c.mu.Lock()
+					want := c.pongs + 1
+					c.mu.Unlock()
+					c.publish("ajuste.plan."+c.user, "", text)
+					c.send("PING")
+					if !c.await(8*time.Second, func() bool { return c.pongs >= want || c.ended != "" }) {
+						t.rec.logf("client %s: no PONG behind %q", c.user, text)
+						return
+					}
+					c.mu.Lock()
+					confirmed := c.pongs >= want
+					c.mu.Unlock()
+					if !confirmed {
+						t.rec.logf("client %s: %q is not confirmed", c.user, text)
+						return
+					}
+					time.Sleep(50 * time.Millisecond) // every node has passed on by then what it has read
+					mu.Lock()
+					if !taken[text] {
+						t.rec.logf("client %s: %q is confirmed by PONG, and no node has read it", c.user, text)
+						violations = append(violations, fmt.Sprintf("%q was confirmed by PONG, and no node has read it", text))
+					}
+					mu.Unlock()
+				}
+			})
+		}
 	}
 	if t.trouble {
+		time.Sleep(time.Second)
 		cl.mu.Lock()
-		old.stallUntil = time.Now().Add(time.Minute)
+		fullest.stallUntil = time.Now().Add(time.Minute)
 		cl.mu.Unlock()
-		t.rec.logf("%s stands still", old.name)
-		time.AfterFunc(300*time.Millisecond, old.die)
+		t.rec.logf("%s stands still", fullest.name)
+		time.Sleep(300 * time.Millisecond)
+		fullest.die()
 	}
-	c.mu.Lock()
-	want := c.pongs + 1
-	c.mu.Unlock()
-	t.rec.logf("client alba: publishes serie.hecha.alba and sends PING")
-	c.publish("serie.hecha.alba", "", "set 1 done")
-	c.send("PING")
-	confirmed := c.await(4*time.Second, func() bool { return c.pongs >= want })
-	t.rec.logf("client alba: PONG received: %t", confirmed)
-	time.Sleep(500 * time.Millisecond)
+	wg.Wait()
 	mu.Lock()
 	defer mu.Unlock()
-	if confirmed && !taken["set 1 done"] {
-		violations = append(violations, "the client's PING behind its message was answered with PONG, and no node has taken the message")
-	}
-	_ = strings.TrimSpace
-	_ = fmt.Sprint
+	t.rec.logf("%d messages were read by nodes", len(taken))
 	return violations
 }
--- a/review/standins/node.go
+++ b/review/standins/node.go
@@ -19,6 +19,8 @@
 	mu       sync.Mutex // guards the state of all nodes, so that messages have one order
 	nodes    []*node
 	services map[string]func(m message) // responders by subject prefix; called in a goroutine of their own
+
+	stallAfterSub time.Duration // the node that takes the next SUB stands still after that for so long, once; 0: none does
 }
 
 // node is a server of the list.
@@ -32,9 +34,8 @@
 	conns map[*nodeConn]bool
 
 	// Trouble, guarded by cl.mu.
-	hangInSetup   bool          // INFO is sent, then nothing is read or answered on new connections
-	stallAfterSub time.Duration // the next SUB is followed by a standstill of this length, once
-	stallUntil    time.Time     // nothing is read or written until then
+	hangInSetup bool      // INFO is sent, then nothing is read or answered on new connections
+	stallUntil  time.Time // nothing is read or written until then
 }
 
 type message struct {
@@ -202,8 +203,8 @@
 	if !strings.HasPrefix(args[0], "_GW.") {
 		cl.rec.logf("%s: user %q subscribes to %s", c.n.name, c.user, args[0])
 	}
-	if d := c.n.stallAfterSub; d > 0 && !strings.HasPrefix(args[0], "_GW.") {
-		c.n.stallAfterSub, c.n.stallUntil = 0, time.Now().Add(d)
+	if d := cl.stallAfterSub; d > 0 && !strings.HasPrefix(args[0], "_GW.") {
+		cl.stallAfterSub, c.n.stallUntil = 0, time.Now().Add(d)
 		cl.rec.logf("%s: stands still for %v from here on", c.n.name, d)
 	}
 }
