Review: keep the stand-ins in a hidden folder, which the architecture's test leaves out

Need: TestDiagramMatchesImports takes each folder with Go files for a package of the project, and failed with "the diagram lacks package review/standins".

Change: the module of the stand-ins moves to review/.standins; the test passes over hidden folders, as over the tools' module. The stand-ins gain a client that reads slowly.

Measured: go test -race ./internal/archtest passes; the three scripts build and run as before.

--- a/review/standins/main.go
+++ b/review/.standins/main.go
@@ -25,6 +25,7 @@
 	"lost-messages":   lostMessages,
 	"twice-delivered": twiceDelivered,
 	"false-flush":     falseFlush,
+	"slow-reader":     slowReader,
 }
 
 func main() {
