--- a/review/.standins/main.go
+++ b/review/.standins/main.go
@@ -9,6 +9,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // test is what a case needs.
@@ -28,6 +30,8 @@
 	// Findings beyond the three cases; REPORT.md tells of them.
 	"half-messages":       halfMessages,
 	"lame-duck":           lameDuck,
+	"late-drain":          lateDrain,
+	"limit-after-move":    limitAfterMove,
 	"lost-messages":       lostMessages,
 	"next-hangs":          nextHangs,
 	"slow-reader":         slowReader,
@@ -57,6 +61,14 @@
 	t := &test{rec: rec, root: root, dir: dir, trouble: os.Getenv("TROUBLE") != "0"}
 	b := &balancer{rec: rec, root: root, dir: dir, name: "n1"}
 	defer b.kill()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals // the end of this process also ends the balancer, which is started with a parent death signal
+		rec.logf("the case couldn't run: it was stopped")
+		_ = os.RemoveAll(dir)
+		os.Exit(2)
+	}()
 	defer func() {
 		if reason := recover(); reason != nil {
 			rec.logf("the case couldn't run: %v", reason)
--- a/review/.standins/node.go
+++ b/review/.standins/node.go
@@ -34,9 +34,10 @@
 	// The fields below are guarded by cl.mu.
 	dead        bool
 	conns       map[*nodeConn]bool
-	requests    int       // publications with a reply subject that were read here
-	hangInSetup bool      // INFO is sent, then nothing is read or answered on new connections
-	stallUntil  time.Time // nothing is read or written until then
+	requests    int         // publications with a reply subject that were read here
+	published   []time.Time // when publications were read here
+	hangInSetup bool        // INFO is sent, then nothing is read or answered on new connections
+	stallUntil  time.Time   // nothing is read or written until then
 }
 
 type message struct {
@@ -179,11 +180,12 @@
 			if !ok {
 				return
 			}
+			c.n.cl.mu.Lock()
+			c.n.published = append(c.n.published, time.Now())
 			if m.reply != "" {
-				c.n.cl.mu.Lock()
 				c.n.requests++
-				c.n.cl.mu.Unlock()
 			}
+			c.n.cl.mu.Unlock()
 			c.n.cl.publish(c.n, m)
 		default:
 			c.out <- []byte("-ERR 'Unknown Protocol Operation'\r\n")
