--- a/review/.standins/falseflush.go
+++ b/review/.standins/falseflush.go
@@ -10,7 +10,7 @@
 // stands still for a moment and then dies.
 func falseFlush(t *test, b *balancer) (violations []string) {
 	cl := newCluster(t.rec)
-	for range 3 {
+	for range fleetSize {
 		cl.startNode()
 	}
 	var mu sync.Mutex
--- a/review/.standins/foreignanswer.go
+++ b/review/.standins/foreignanswer.go
@@ -20,7 +20,7 @@
 		n := cl.publish(nil, message{subject: m.reply, payload: []byte("plan of " + patient)})
 		t.rec.logf("nodes: plan of %s sent to %s, which %d nodes pass on", patient, m.reply, n)
 	}
-	for range 3 {
+	for range fleetSize {
 		cl.startNode()
 	}
 	b.disc = startDiscovery(t.rec, cl.members())
--- a/review/.standins/node.go
+++ b/review/.standins/node.go
@@ -12,6 +12,9 @@
 	"time"
 )
 
+// fleetSize is the number of nodes of the cases: plan-norte has 10 to 14.
+const fleetSize = 10
+
 // cluster is a set of nodes that speak the NATS client protocol and pass messages on to each other.
 type cluster struct {
 	rec *recorder
--- a/review/.standins/twicedelivered.go
+++ b/review/.standins/twicedelivered.go
@@ -35,7 +35,7 @@
 // and the old node dies meanwhile.
 func twiceDelivered(t *test, b *balancer) (violations []string) {
 	cl := newCluster(t.rec)
-	for range 3 {
+	for range fleetSize {
 		cl.startNode()
 	}
 	b.disc = startDiscovery(t.rec, cl.members())
