--- a/review/.standins/node.go
+++ b/review/.standins/node.go
@@ -22,6 +22,7 @@
 	mu       sync.Mutex // guards the state of all nodes, so that messages have one order
 	nodes    []*node
 	services map[string]func(m message) // responders by subject prefix; called in a goroutine of their own
+	read     map[string]bool            // payloads of the publications that nodes have read
 
 	hangAfterSetup *node         // the next node but this one that confirms a session's set-up hangs then, once; nil: none does
 	stallAfterSub  time.Duration // the node that takes the next SUB stands still after that for so long, once; 0: none does
@@ -64,7 +65,7 @@
 }
 
 func newCluster(rec *recorder) *cluster {
-	return &cluster{rec: rec, services: map[string]func(message){}}
+	return &cluster{rec: rec, services: map[string]func(message){}, read: map[string]bool{}}
 }
 
 // startNode starts the node with the next number.
@@ -185,6 +186,7 @@
 			}
 			c.n.cl.mu.Lock()
 			c.n.published = append(c.n.published, time.Now())
+			c.n.cl.read[string(m.payload)] = true
 			if m.reply != "" {
 				c.n.requests++
 			}
