Add review case 7: a start in a crowd hangs for good while discovery is down

Change: a gateway with NATS and a cluster restarts while discovery is down, in a crowd of connections that send half a command and go. Events of the NATS listener fill the engine's queue before the engine runs, and the start never ends. With it come case 8, a hung node of the session delays requests that belong to another node beyond their time, and the order by gravity: the queue group's case is 9 now, and two lesser cases leave, a rejection after a drain and a revived subscription.

--- a/review/.standins-2/discovery.go
+++ b/review/.standins-2/discovery.go
@@ -38,6 +38,7 @@
 	version int64
 	servers []endpoint
 	changed chan struct{}
+	down    bool // calls end with 503
 }
 
 func startDiscovery(r *record) (*discovery, error) {
@@ -82,7 +83,25 @@
 	d.record.printf("discovery: version %d, %s is %s", d.version, e.ID, e.State)
 }
 
+// setDown sets whether discovery is down.
+func (d *discovery) setDown(down bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.down = down
+	d.record.printf("discovery: down=%t", down)
+}
+
+func (d *discovery) isDown() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.down
+}
+
 func (d *discovery) serve(w http.ResponseWriter, r *http.Request) {
+	if d.isDown() {
+		http.Error(w, "down", http.StatusServiceUnavailable)
+		return
+	}
 	list := d.list()
 	if after := r.URL.Query().Get("after"); after != "" {
 		version, _ := strconv.ParseInt(after, 10, 64)
--- /dev/null
+++ b/review/.standins-2/hang.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"fmt"
+	"time"
+)
+
+const (
+	hangInterval = 100 * time.Millisecond
+	hangSaveTime = 20 * time.Millisecond
+	hangPhase    = 12 * time.Second
+	// hangLimit is the deadline of the class, the half second after it in which an answer earns nothing and is not lost yet,
+	// and the 50 ms by which time limits on sockets are longer.
+	hangLimit    = 800*time.Millisecond + 500*time.Millisecond + 50*time.Millisecond
+	hangOperator = `(cluster true)
+ (session (class "serie-hecha") (key user) (wait "2s"))
+ (request (subject "plan.save.*") (class "ajuste-plan") (deadline "800ms") (key (token 2)))`
+)
+
+// hang makes a node stop: it reads on and answers nothing. Its connections stay open.
+func (n *node) hang() {
+	n.cluster.mu.Lock()
+	defer n.cluster.mu.Unlock()
+	n.hung = true
+	n.cluster.record.printf("node %s: hangs", n.name)
+}
+
+// playHungNode has the node of a session hang. The client's requests belong to another node, which is well. Each has to be
+// answered in its time.
+func playHungNode(s *scene) ([]string, error) {
+	v := &visits{last: map[string]*node{}, lame: map[*node]time.Time{}, saveTime: hangSaveTime}
+	_, err := s.startNodes(5, func(n *node) { n.servicePrefix, n.service = "plan.save.", v.serve })
+	if err != nil {
+		return nil, err
+	}
+	if err := s.writeFiles(hangOperator); err != nil {
+		return nil, err
+	}
+	if err := s.startBalancer(); err != nil {
+		return nil, err
+	}
+	p := newPlanner(s, 1)
+	if err := p.connect(); err != nil {
+		return nil, err
+	}
+	patient, target, err := v.findPatient(s, p)
+	if err != nil {
+		return nil, err
+	}
+	home := s.nodes.holders(p.inbox + ".1")[p.user]
+	s.record.printf("the session is at node %s, requests for %s go to node %s", home.name, patient, target.name)
+	if s.trouble {
+		home.hang()
+	}
+	number := firstNumber
+	for until := time.Now().Add(hangPhase); time.Now().Before(until); time.Sleep(hangInterval) {
+		number++
+		p.askFor(patient, number)
+	}
+	time.Sleep(hangLimit + time.Second)
+	return p.lateAnswers(), nil
+}
+
+// lateAnswers returns the requests that were not answered in time.
+func (p *planner) lateAnswers() (violations []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, r := range p.order {
+		asked, answered := p.askedAt[r], p.answeredAt[r]
+		switch {
+		case answered.IsZero():
+			violations = append(violations, fmt.Sprintf("request %q was never answered", p.asked[r]))
+		case answered.Sub(asked) > hangLimit:
+			violations = append(violations, fmt.Sprintf("request %q was answered after %v, its deadline is 800 ms",
+				p.asked[r], answered.Sub(asked).Round(time.Millisecond)))
+		}
+	}
+	p.scene.record.printf("%d requests, %d answered, %d late or never", len(p.asked), len(p.answered), len(violations))
+	return violations
+}
--- a/review/.standins-2/lameduck.go
+++ b/review/.standins-2/lameduck.go
@@ -16,23 +16,23 @@
 	lameListAfter = 4 * time.Second        // the list comes seconds late
 	lamePhase     = 6 * time.Second
 	maxPatients   = 100
+	firstNumber   = 1000 // of the requests behind those that find a patient
 )
 
 // visits notes what nodes have been sent.
 type visits struct {
 	mu   sync.Mutex
 	last map[string]*node // node of the last request for a patient
-	late []string
-	lame map[*node]time.Time // when a node announced that it drains
+	// saveTime is the time that a node needs for a request.
+	saveTime time.Duration
+	late     []string
+	lame     map[*node]time.Time // when a node announced that it drains
 }
 
 // playLameDuck has a node announce that it drains on all its connections. Nothing new may go there later than the grace.
 func playLameDuck(s *scene) ([]string, error) {
-	v := &visits{last: map[string]*node{}, lame: map[*node]time.Time{}}
-	_, err := s.startNodes(5, func(n *node) {
-		n.servicePrefix = "plan.save."
-		n.service = func(n *node, m message, answer func(string)) { v.serve(n, m, answer) }
-	})
+	v := &visits{last: map[string]*node{}, lame: map[*node]time.Time{}, saveTime: lameSaveTime}
+	_, err := s.startNodes(5, func(n *node) { n.servicePrefix, n.service = "plan.save.", v.serve })
 	if err != nil {
 		return nil, err
 	}
@@ -70,7 +70,7 @@
 	} else {
 		close(stopped)
 	}
-	number := 1000
+	number := firstNumber
 	for until := time.Now().Add(lamePhase); time.Now().Before(until); time.Sleep(lameInterval) {
 		number++
 		p.askFor(patient, number)
@@ -101,7 +101,7 @@
 			m.body, n.name, time.Since(at).Round(time.Millisecond)))
 	}
 	v.mu.Unlock()
-	time.Sleep(lameSaveTime)
+	time.Sleep(v.saveTime)
 	answer("saved:" + m.body)
 }
 
@@ -111,7 +111,7 @@
 	for i := range maxPatients {
 		patient := fmt.Sprintf("patient%02d", i)
 		p.askFor(patient, i)
-		time.Sleep(lameSaveTime + 100*time.Millisecond)
+		time.Sleep(v.saveTime + 100*time.Millisecond)
 		v.mu.Lock()
 		n := v.last["plan.save."+patient]
 		v.mu.Unlock()
--- a/review/.standins-2/main.go
+++ b/review/.standins-2/main.go
@@ -27,9 +27,9 @@
 var plays = map[string]play{
 	"restart-answers": playRestartAnswers,
 	"queue-drain":     playQueueDrain,
-	"ended-drain":     playEndedDrain,
 	"lame-duck":       playLameDuck,
-	"full-drain":      playFullDrain,
+	"hung-node":       playHungNode,
+	"crowded-start":   playCrowdedStart,
 }
 
 func main() {
--- a/review/.standins-2/node.go
+++ b/review/.standins-2/node.go
@@ -35,6 +35,7 @@
 	conns    map[*nodeConn]struct{}
 	closing  bool
 
+	hung      bool // nothing is answered
 	lameDuck  bool
 	full      bool          // sessions are refused once their CONNECT is checked
 	oneWay    time.Duration // time that bytes need to the node or from it
@@ -148,7 +149,7 @@
 
 // push queues a frame. The caller holds the lock.
 func (c *nodeConn) push(frame string) {
-	if !c.closed {
+	if !c.closed && !c.node.hung {
 		c.out <- timedBytes{time.Now().Add(c.node.oneWay), []byte(frame)}
 	}
 }
@@ -223,7 +224,7 @@
 
 // handle handles one frame. The caller holds the lock.
 func (c *nodeConn) handle(f frame) {
-	if c.closed {
+	if c.closed || c.node.hung {
 		return
 	}
 	fields := strings.Fields(f.line)
--- a/review/.standins-2/restart.go
+++ b/review/.standins-2/restart.go
@@ -28,10 +28,16 @@
 	asked    map[string]string // body of each request by its reply subject
 	answered map[string]bool
 	wrong    []string
+
+	order               []string // the reply subjects, in the order of the requests
+	askedAt, answeredAt map[string]time.Time
 }
 
 func newPlanner(s *scene, i int) *planner {
-	return &planner{scene: s, user: fmt.Sprintf("patient%02d", i), asked: map[string]string{}, answered: map[string]bool{}}
+	return &planner{
+		scene: s, user: fmt.Sprintf("patient%02d", i), asked: map[string]string{}, answered: map[string]bool{},
+		askedAt: map[string]time.Time{}, answeredAt: map[string]time.Time{},
+	}
 }
 
 // connect connects with an inbox of its own, as client libraries do.
@@ -52,7 +58,7 @@
 	defer p.mu.Unlock()
 	want := "saved:" + p.asked[m.subject]
 	p.scene.record.printf("client %s: answer to %q on %s: %q", p.user, p.asked[m.subject], m.subject, m.body)
-	p.answered[m.subject] = true
+	p.answered[m.subject], p.answeredAt[m.subject] = true, time.Now()
 	if m.body != want {
 		p.wrong = append(p.wrong, fmt.Sprintf("%s asked %q and was answered %q", p.user, p.asked[m.subject], m.body))
 	}
@@ -65,7 +71,7 @@
 	p.mu.Lock()
 	reply := fmt.Sprintf("%s.%d", p.inbox, number)
 	body := fmt.Sprintf("%s plan %d", patient, number)
-	p.asked[reply] = body
+	p.asked[reply], p.askedAt[reply], p.order = body, time.Now(), append(p.order, reply)
 	c := p.client
 	p.mu.Unlock()
 	p.scene.record.printf("client %s: asks %q on %s", p.user, body, reply)
--- a/review/.standins-2/scene.go
+++ b/review/.standins-2/scene.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"time"
 )
 
@@ -103,8 +104,9 @@
   "start_capacity":0.16,"stop_sending_within_ns":500000000,"tip_multiple":4},
  "weights":"nominal","worth_by":"request"}`
 
-// writeFiles writes the configuration and the operator file. operator is the text of the section nats behind its address.
-func (s *scene) writeFiles(operator string) error {
+// writeFiles writes the configuration and the operator file. operator is the text of the section nats behind its address, more
+// are further sections.
+func (s *scene) writeFiles(operator string, more ...string) error {
 	config, err := json.Marshal(map[string]any{
 		"name": "n1", "listen": s.lineAddr, "discovery": s.discovery.addr(), "seed": "8c1f30d27a5be964",
 		"limits":   map[string]any{"cores": 1.0, "memory_mb": memoryMB, "sockets": sockets},
@@ -117,7 +119,7 @@
 	if err := os.WriteFile(s.path("config.json"), config, 0o600); err != nil {
 		return err
 	}
-	text := fmt.Sprintf("(nats (listen %q)\n%s)\n", s.natsAddr, operator)
+	text := fmt.Sprintf("(nats (listen %q)\n%s)\n%s\n", s.natsAddr, operator, strings.Join(more, "\n"))
 	s.record.printf("operator file: %s", text)
 	return os.WriteFile(s.path("operator.edn"), []byte(text), 0o600)
 }
@@ -126,6 +128,14 @@
 
 // startBalancer starts the balancer by the run line of the deploy file and waits until it is ready.
 func (s *scene) startBalancer() error {
+	if err := s.startProcess(); err != nil {
+		return err
+	}
+	return s.awaitReady()
+}
+
+// startProcess starts the balancer and does not wait.
+func (s *scene) startProcess() error {
 	s.starts++
 	temp := s.path(fmt.Sprint("tmp", s.starts)) // empty at each start
 	if err := os.Mkdir(temp, 0o700); err != nil {
@@ -146,17 +156,23 @@
 	}
 	s.balancer = c
 	s.record.printf("balancer started, process %d", c.Process.Pid)
-	return s.awaitReady()
+	return nil
+}
+
+// isReady asks the balancer whether it is ready.
+func (s *scene) isReady() bool {
+	operator := http.Client{Timeout: time.Second}
+	response, err := operator.Get("http://" + s.adminAddr + "/-/ready")
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return response.StatusCode == http.StatusOK
 }
 
 func (s *scene) awaitReady() error {
 	for until := time.Now().Add(readyTimeout); time.Now().Before(until); time.Sleep(pollInterval) {
-		response, err := http.Get("http://" + s.adminAddr + "/-/ready")
-		if err != nil {
-			continue
-		}
-		response.Body.Close()
-		if response.StatusCode == http.StatusOK {
+		if s.isReady() {
 			s.record.printf("balancer ready")
 			return nil
 		}
