Add review case 7: one client's long line fails the requests of the others

Need: an independent review shows each fault with a test that fails; the cases stand in the order of gravity.

Change: a client's line of 4,096 bytes becomes longer at the gateway, nodes close the connections that the gateway shares among clients, and requests of the others fail though they have run.

--- a/review/.standins-2/client.go
+++ b/review/.standins-2/client.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"cmp"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -24,10 +26,14 @@
 	reader *bufio.Reader
 	ended  chan struct{} // closed when the connection has ended
 
-	mu       sync.Mutex
-	handlers map[string]func(message)
-	unknown  int // messages to a subscription that does not exist
-	pongs    []chan struct{}
+	orderly bool // the balancer has ended the connection without a reset; set before ended is closed
+	plain   bool // the client knows no headers
+
+	mu         sync.Mutex
+	unreadable []string // frames that the client can't read
+	handlers   map[string]func(message)
+	unknown    int // messages to a subscription that does not exist
+	pongs      []chan struct{}
 }
 
 // connect connects a client and waits until its session stands. It tries again until it is accepted.
@@ -35,7 +41,7 @@
 	var err error
 	for until := time.Now().Add(clientTimeout); time.Now().Before(until); time.Sleep(reconnectWait) {
 		var c *client
-		if c, err = dialClient(s.natsAddr, user, s.record); err == nil {
+		if c, err = s.dialClient(user); err == nil {
 			s.record.printf("client %s: connected", user)
 			return c, nil
 		}
@@ -43,21 +49,21 @@
 	return nil, fmt.Errorf("client %s: %w", user, err)
 }
 
-func dialClient(addr, user string, r *record) (*client, error) {
-	socket, err := net.DialTimeout("tcp", addr, clientTimeout)
+func (s *scene) dialClient(user string) (*client, error) {
+	socket, err := net.DialTimeout("tcp", s.natsAddr, clientTimeout)
 	if err != nil {
 		return nil, err
 	}
 	c := &client{
-		user: user, record: r, socket: socket, reader: bufio.NewReader(socket),
-		ended: make(chan struct{}), handlers: map[string]func(message){},
+		user: user, record: s.record, socket: socket, reader: bufio.NewReader(socket),
+		ended: make(chan struct{}), handlers: map[string]func(message){}, plain: s.plain,
 	}
 	if _, err := c.reader.ReadString('\n'); err != nil { // INFO
 		socket.Close()
 		return nil, err
 	}
-	c.send(fmt.Sprintf(`CONNECT {"verbose":false,"pedantic":false,"headers":true,"no_responders":true,"protocol":1,`+
-		`"lang":"go","version":"1.0","user":"%s","name":"%s"}`, user, user) + "\r\n")
+	c.send(fmt.Sprintf(`CONNECT {"verbose":false,"pedantic":false,"headers":%t,"no_responders":%t,"protocol":1,`+
+		`"lang":"go","version":"1.0","user":"%s","name":"%s"}`, !s.plain, !s.plain, cmp.Or(s.account, user), user) + "\r\n")
 	go c.read()
 	if err := c.flush(); err != nil {
 		socket.Close()
@@ -119,12 +125,16 @@
 	for {
 		line, err := c.reader.ReadString('\n')
 		if err != nil {
+			c.orderly = errors.Is(err, io.EOF)
 			return
 		}
 		fields := strings.Fields(line)
 		if len(fields) == 0 {
 			continue
 		}
+		if c.plain && fields[0] == "HMSG" {
+			c.noteUnreadable(strings.TrimSpace(line))
+		}
 		switch fields[0] {
 		case "PING":
 			c.send("PONG\r\n")
@@ -140,6 +150,20 @@
 	}
 }
 
+// noteUnreadable notes a frame that the client can't read. A true client of that kind ends the connection.
+func (c *client) noteUnreadable(line string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.record.printf("client %s: was sent %q", c.user, line)
+	c.unreadable = append(c.unreadable, fmt.Sprintf("client %s knows no headers and was sent %q", c.user, line))
+}
+
+func (c *client) unreadableFrames() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.unreadable
+}
+
 func (c *client) pong() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -159,6 +183,9 @@
 		return err
 	}
 	m := message{subject: fields[1], body: string(body[:size])}
+	if fields[0] == "MSG" && len(fields) == 5 {
+		m.reply = fields[3]
+	}
 	c.mu.Lock()
 	handle := c.handlers[fields[2]]
 	if handle == nil {
--- a/review/.standins-2/hang.go
+++ b/review/.standins-2/hang.go
@@ -1,13 +1,17 @@
 package main
 
 import (
+	"errors"
 	"fmt"
+	"sync"
 	"time"
 )
 
 const (
 	hangInterval = 100 * time.Millisecond
 	hangSaveTime = 20 * time.Millisecond
+	maxPatients  = 100
+	firstNumber  = 1000 // of the requests behind those that find a patient
 	hangPhase    = 12 * time.Second
 	// hangLimit is the deadline of the class, the half second after it in which an answer earns nothing and is not lost yet,
 	// and the 50 ms by which time limits on sockets are longer.
@@ -28,7 +32,7 @@
 // playHungNode has the node of a session hang. The client's requests belong to another node, which is well. Each has to be
 // answered in its time.
 func playHungNode(s *scene) ([]string, error) {
-	v := &visits{last: map[string]*node{}, lame: map[*node]time.Time{}, saveTime: hangSaveTime}
+	v := &visits{last: map[string]*node{}}
 	_, err := s.startNodes(5, func(n *node) { n.servicePrefix, n.service = "plan.save.", v.serve })
 	if err != nil {
 		return nil, err
@@ -78,3 +82,35 @@
 	p.scene.record.printf("%d requests, %d answered, %d late or never", len(p.asked), len(p.answered), len(violations))
 	return violations
 }
+
+// visits notes which node the last request for a patient was sent to.
+type visits struct {
+	mu   sync.Mutex
+	last map[string]*node
+}
+
+func (v *visits) serve(n *node, m message, answer func(string)) {
+	n.cluster.record.printf("node %s: request %q", n.name, m.body)
+	v.mu.Lock()
+	v.last[m.subject] = n
+	v.mu.Unlock()
+	time.Sleep(hangSaveTime)
+	answer("saved:" + m.body)
+}
+
+// findPatient returns a patient whose requests go to another node than the session's.
+func (v *visits) findPatient(s *scene, p *planner) (string, *node, error) {
+	home := s.nodes.holders(p.inbox + ".1")[p.user]
+	for i := range maxPatients {
+		patient := fmt.Sprintf("patient%02d", i)
+		p.askFor(patient, i)
+		time.Sleep(hangSaveTime + 100*time.Millisecond)
+		v.mu.Lock()
+		n := v.last["plan.save."+patient]
+		v.mu.Unlock()
+		if n != nil && n != home {
+			return patient, n, nil
+		}
+	}
+	return "", nil, errors.New("all requests go to the session's node")
+}
--- a/review/.standins-2/main.go
+++ b/review/.standins-2/main.go
@@ -25,11 +25,13 @@
 type play func(s *scene) (violations []string, err error)
 
 var plays = map[string]play{
-	"restart-answers": playRestartAnswers,
-	"queue-drain":     playQueueDrain,
-	"lame-duck":       playLameDuck,
-	"hung-node":       playHungNode,
-	"crowded-start":   playCrowdedStart,
+	"queue-drain":   playQueueDrain,
+	"hung-node":     playHungNode,
+	"planned-stop":  playPlannedStop,
+	"plain-client":  playPlainClient,
+	"long-line":     playLongLine,
+	"ended-drain":   playEndedDrain,
+	"crowded-start": playCrowdedStart,
 }
 
 func main() {
--- a/review/.standins-2/node.go
+++ b/review/.standins-2/node.go
@@ -35,11 +35,9 @@
 	conns    map[*nodeConn]struct{}
 	closing  bool
 
-	hung      bool // nothing is answered
-	lameDuck  bool
-	full      bool          // sessions are refused once their CONNECT is checked
-	oneWay    time.Duration // time that bytes need to the node or from it
-	setupTime time.Duration // time that the node needs for a CONNECT
+	hung     bool // nothing is answered
+	lameDuck bool
+	oneWay   time.Duration // time that bytes need to the node or from it
 	// service answers messages to a subject of its prefix. It is called without the lock; answer may be called at any time.
 	service       func(n *node, m message, answer func(body string))
 	servicePrefix string
@@ -50,6 +48,7 @@
 	node   *node
 	socket net.Conn
 	user   string
+	notify bool // the peer knows headers and wants to be told that a request has no receiver
 	subs   map[string]*subscription
 	out    chan timedBytes
 	closed bool
@@ -184,6 +183,10 @@
 			return
 		}
 		f := frame{line: strings.TrimRight(line, "\r\n")}
+		if len(f.line) > maxControlLine {
+			c.refuse("Maximum Control Line Exceeded")
+			return
+		}
 		if op, _, _ := strings.Cut(f.line, " "); op == "PUB" || op == "HPUB" {
 			fields := strings.Fields(f.line)
 			size, _ := strconv.Atoi(fields[len(fields)-1])
@@ -201,9 +204,6 @@
 func (c *nodeConn) handleAll(frames <-chan frame) {
 	for f := range frames {
 		time.Sleep(time.Until(f.due))
-		if strings.HasPrefix(f.line, "CONNECT") {
-			time.Sleep(c.node.setupTime)
-		}
 		c.node.cluster.mu.Lock()
 		c.handle(f)
 		c.node.cluster.mu.Unlock()
@@ -249,7 +249,20 @@
 		if fields[0] == "PUB" && len(fields) == 4 {
 			m.reply = fields[2]
 		}
-		c.node.publish(m)
+		if c.node.publish(m) == 0 && m.reply != "" && c.notify {
+			c.tellNoResponders(m.reply)
+		}
+	}
+}
+
+// tellNoResponders tells the peer that a request has no receiver, if it has a subscription to the reply subject.
+func (c *nodeConn) tellNoResponders(reply string) {
+	const status = "NATS/1.0 503\r\n\r\n"
+	for sid, s := range c.subs {
+		if matches(s.subject, reply) {
+			c.push(fmt.Sprintf("HMSG %s %s %d %d\r\n%s\r\n", reply, sid, len(status), len(status), status))
+			return
+		}
 	}
 }
 
@@ -257,16 +270,28 @@
 	if _, rest, found := strings.Cut(line, `"user":"`); found {
 		c.user, _, _ = strings.Cut(rest, `"`)
 	}
-	if c.node.full {
-		c.node.cluster.record.printf("node %s: session of %s refused, the node is full", c.node.name, c.user)
-		c.push("-ERR 'maximum connections exceeded'\r\n")
-		c.out <- timedBytes{time.Now().Add(c.node.oneWay), nil}
-		c.closed = true
-		close(c.out)
-		delete(c.node.conns, c)
+	c.notify = strings.Contains(line, `"headers":true`) && strings.Contains(line, `"no_responders":true`)
+}
+
+// refuse ends a connection whose peer has broken the protocol.
+func (c *nodeConn) refuse(text string) {
+	c.node.cluster.mu.Lock()
+	defer c.node.cluster.mu.Unlock()
+	if !c.closed {
+		c.node.cluster.record.printf("node %s: ends a connection of %s: %s", c.node.name, c.user, text)
+		c.endWith(text)
 	}
 }
 
+// endWith ends the connection with an error. The caller holds the lock.
+func (c *nodeConn) endWith(text string) {
+	c.push("-ERR '" + text + "'\r\n")
+	c.out <- timedBytes{time.Now().Add(c.node.oneWay), nil}
+	c.closed = true
+	close(c.out)
+	delete(c.node.conns, c)
+}
+
 func (c *nodeConn) unsubscribe(fields []string) {
 	s := c.subs[fields[1]]
 	if s == nil {
@@ -280,8 +305,9 @@
 	}
 }
 
-// publish routes a message and gives it to the node's service. The caller holds the lock.
-func (n *node) publish(m message) {
+// publish routes a message, or gives it to the node's service, and returns the number of receivers. The caller holds the
+// lock.
+func (n *node) publish(m message) int {
 	if n.service != nil && m.reply != "" && strings.HasPrefix(m.subject, n.servicePrefix) {
 		go n.service(n, m, func(body string) {
 			n.cluster.mu.Lock()
@@ -290,19 +316,9 @@
 				n.cluster.route(message{subject: m.reply, body: body})
 			}
 		})
-		return
-	}
-	n.cluster.route(m)
-}
-
-// setFull sets whether nodes refuse sessions.
-func (c *cluster) setFull(nodes []*node, full bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, n := range nodes {
-		n.full = full
-		c.record.printf("node %s: full=%t", n.name, full)
+		return 1
 	}
+	return n.cluster.route(m)
 }
 
 // publish publishes a message as an application at the cluster. It returns the number of receivers.
--- a/review/.standins-2/scene.go
+++ b/review/.standins-2/scene.go
@@ -34,6 +34,8 @@
 	adminAddr, lineAddr, natsAddr string
 	balancer                      *exec.Cmd
 	settings                      string
+	plain                         bool   // clients that connect now know no headers
+	account                       string // user of the clients that connect now; empty: each has its own
 	starts                        int
 }
 
