Count the messages that a NATS session drops, by reason

Four hypotheses stood: taken for duplicates; of a set-up that did not complete; of a node that the session has left; arrived between the old node's PONG and the close of its connection, where nothing would count them.

Change: the figures dropped_messages.duplicate, .setup, .detached and .ended. The golden page of the figures has the new lines.

--- a/gateway/run.go
+++ b/gateway/run.go
@@ -181,7 +181,9 @@
 		return func() {}, nil
 	}
 	g.natsBackend.Connect(g.engine, conns)
-	listener, err := natsfrontend.Listen(g.config.Name, *g.natsSettings, g.engine, g.natsBackend, conns)
+	listener, err := natsfrontend.Listen(natsfrontend.Options{
+		Name: g.config.Name, Settings: *g.natsSettings, Engine: g.engine, Backend: g.natsBackend, Dropped: &g.registry.DroppedMessages,
+	}, conns)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/metrics/format_test.go
+++ b/internal/metrics/format_test.go
@@ -34,6 +34,10 @@
 		}
 		r.Forwards.Add(1 << 40)
 		r.Outstanding.Store(-5)
+		r.DroppedMessages.Duplicate.Add(12)
+		r.DroppedMessages.Setup.Add(13)
+		r.DroppedMessages.Detached.Add(14)
+		r.DroppedMessages.Ended.Add(15)
 		r.DiscoveredServers.Store(6)
 		r.EjectedServers.Store(7)
 		r.UnreachableServers.Store(8)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -18,6 +18,15 @@
 	Aborted   atomic.Int64 // failed
 }
 
+// DroppedMessages counts, by reason, the messages that NATS nodes delivered to sessions and that were not passed on to the clients,
+// although these were connected.
+type DroppedMessages struct {
+	Duplicate atomic.Int64 // identical to one that the previous node of a migrating session had delivered
+	Setup     atomic.Int64 // received during a set-up at a node that did not complete
+	Detached  atomic.Int64 // received from a node that is no longer the session's
+	Ended     atomic.Int64 // its subscription had ended
+}
+
 // Registry holds all metrics of one gateway.
 type Registry struct {
 	classes []classMetrics // in the order of the settings
@@ -29,6 +38,8 @@
 	EjectedServers     atomic.Int64 // servers in the endpoint list that are in maintenance mode or ejected as outliers
 	UnreachableServers atomic.Int64 // ready servers in the endpoint list without an entry in the lookup table
 
+	DroppedMessages DroppedMessages
+
 	Descriptors           atomic.Int64 // open descriptors of the process
 	ConnectionDescriptors atomic.Int64 // of Descriptors, those of connections to clients and servers, including load polls
 	ClosingDescriptors    atomic.Int64 // of ConnectionDescriptors, those of connections that this side has closed
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -12,6 +12,10 @@
 	r.Class("a:b|c\nd").Aborted.Add(1)
 	r.Outstanding.Store(14)
 	r.Forwards.Add(3)
+	r.DroppedMessages.Duplicate.Add(21)
+	r.DroppedMessages.Setup.Add(22)
+	r.DroppedMessages.Detached.Add(23)
+	r.DroppedMessages.Ended.Add(24)
 	r.DiscoveredServers.Store(2)
 	r.EjectedServers.Store(1)
 	r.UnreachableServers.Store(4)
@@ -25,6 +29,10 @@
 		"edge_proxy.declined.a_b_c_d:0|c\n" +
 		"edge_proxy.aborted.a_b_c_d:1|c\n" +
 		"edge_proxy.forwards:3|c\n" +
+		"edge_proxy.dropped_messages.duplicate:21|c\n" +
+		"edge_proxy.dropped_messages.setup:22|c\n" +
+		"edge_proxy.dropped_messages.detached:23|c\n" +
+		"edge_proxy.dropped_messages.ended:24|c\n" +
 		"edge_proxy.outstanding:14|g\n" +
 		"edge_proxy.discovered:2|g\n" +
 		"edge_proxy.ejected:1|g\n" +
--- a/internal/metrics/statsd.go
+++ b/internal/metrics/statsd.go
@@ -20,6 +20,11 @@
 		b = appendMetric(b, "aborted", class.label, class.counters.Aborted.Load(), statsdCounter)
 	}
 	b = appendMetric(b, "forwards", "", r.Forwards.Load(), statsdCounter)
+	dropped := &r.DroppedMessages
+	b = appendMetric(b, "dropped_messages", "duplicate", dropped.Duplicate.Load(), statsdCounter)
+	b = appendMetric(b, "dropped_messages", "setup", dropped.Setup.Load(), statsdCounter)
+	b = appendMetric(b, "dropped_messages", "detached", dropped.Detached.Load(), statsdCounter)
+	b = appendMetric(b, "dropped_messages", "ended", dropped.Ended.Load(), statsdCounter)
 	b = appendMetric(b, "outstanding", "", r.Outstanding.Load(), statsdGauge)
 	b = appendMetric(b, "discovered", "", r.DiscoveredServers.Load(), statsdGauge)
 	b = appendMetric(b, "ejected", "", r.EjectedServers.Load(), statsdGauge)
--- a/internal/nats/frontend/frontend.go
+++ b/internal/nats/frontend/frontend.go
@@ -16,6 +16,7 @@
 
 	"example.org/milletvane/config/operator"
 	"example.org/milletvane/internal/engine"
+	"example.org/milletvane/internal/metrics"
 	"example.org/milletvane/internal/nats/backend"
 	"example.org/milletvane/internal/nats/codec"
 	"example.org/milletvane/internal/reactor"
@@ -26,6 +27,15 @@
 	Post(engine.Event)
 }
 
+// Options holds what a Frontend needs. All of it is required.
+type Options struct {
+	Name     string // name of the gateway; clients and nodes see it
+	Settings operator.NATS
+	Engine   Engine
+	Backend  *backend.Backend
+	Dropped  *metrics.DroppedMessages // counts the messages that are not passed on to connected clients
+}
+
 // Frontend accepts connections of NATS clients at one address and holds their sessions.
 type Frontend struct {
 	engine          Engine
@@ -34,6 +44,7 @@
 	listener        *reactor.Listener
 	name            string
 	id              string
+	dropped         *metrics.DroppedMessages
 
 	maxPayload   atomic.Int64 // in bytes; the minimum of the configured limit and the limits of the nodes
 	lastID       atomic.Uint64
@@ -45,13 +56,13 @@
 
 // Listen opens the listener and returns a Frontend that accepts connections until Close is called. The error is that of the
 // listener.
-func Listen(name string, settings operator.NATS, e Engine, b *backend.Backend, g *reactor.Group) (*Frontend, error) {
+func Listen(o Options, g *reactor.Group) (*Frontend, error) {
 	f := &Frontend{
-		engine: e, backend: b, name: name,
+		engine: o.Engine, backend: o.Backend, name: o.Name, dropped: o.Dropped,
 		id: "GW" + strconv.FormatUint(rand.Uint64(), 36), sessions: map[*Session]struct{}{},
 	}
-	f.SetSettings(&settings)
-	listener, err := g.Listen(settings.Listen, 0, func(func()) reactor.Handler { return &Session{frontend: f} })
+	f.SetSettings(&o.Settings)
+	listener, err := g.Listen(o.Settings.Listen, 0, func(func()) reactor.Handler { return &Session{frontend: f} })
 	if err != nil {
 		return nil, fmt.Errorf("nats: %w", err)
 	}
--- a/internal/nats/frontend/migration.go
+++ b/internal/nats/frontend/migration.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"example.org/milletvane/internal/engine"
-	"example.org/milletvane/internal/nats/codec"
 )
 
 // A session migrates to another node in three steps that are invisible to its client:
@@ -70,7 +69,8 @@
 	if s.phase == closed || n != s.next {
 		return
 	}
-	s.next, s.buffered = nil, nil
+	s.next = nil
+	s.discardBuffered()
 	if s.phase != established {
 		s.close(errMaxConnections)
 		return
@@ -161,36 +161,6 @@
 	}
 }
 
-// deliverBuffered delivers the messages of n that were buffered during the migration.
-func (s *Session) deliverBuffered(n *nodeSession) {
-	buffered := s.buffered
-	s.buffered = nil
-	limits := s.frontend.backend.Limits()
-	for len(buffered) > 0 {
-		f, size, err := codec.Parse(buffered, limits)
-		if err != nil || size == 0 { // cannot happen with the same limits, because only complete frames are buffered
-			return
-		}
-		if s.shouldDeliver(n, &f) {
-			s.sendFrom(n.nodeConn.Conn(), f.Raw)
-		}
-		buffered = buffered[size:]
-	}
-}
-
-// shouldDeliver reports whether a message must be delivered to the client: it is not a duplicate, and its subscription has not
-// ended. It counts the message for deduplication and for the limit of its subscription.
-func (s *Session) shouldDeliver(n *nodeSession, f *codec.Frame) bool {
-	if s.dedup.Active() {
-		if n != s.current || n.flushing || s.next != nil {
-			s.dedup.RecordOld(f.Raw)
-		} else if s.dedup.IsDuplicate(f.Raw) {
-			return false
-		}
-	}
-	return !s.subscriptions.HasLimits() || s.subscriptions.Deliver(f.SID)
-}
-
 // retire makes old the previous node of the session and closes its connection once no request is pending there.
 func (s *Session) retire(old *nodeSession) {
 	if s.previous != nil { // a second migration ends the attempts that are pending at the first node
@@ -213,7 +183,8 @@
 	case s.previous:
 		s.previous = nil
 	case s.next: // n was established, but the old node has not delivered everything yet
-		s.next, s.buffered = nil, nil
+		s.next = nil
+		s.discardBuffered()
 		s.requestNextNode()
 	case s.current:
 		s.currentNodeLost(n)
--- a/internal/nats/frontend/node_session.go
+++ b/internal/nats/frontend/node_session.go
@@ -89,7 +89,7 @@
 // which has failed.
 func (n *nodeSession) AppendHandshake(b []byte) []byte {
 	s := n.session
-	s.buffered = nil
+	s.discardBuffered()
 	if s.current != nil {
 		// A SUB that is read after this point would reach only the old node.
 		s.conn.Pause()
@@ -122,30 +122,6 @@
 	s.nodeEstablished(n)
 }
 
-// bufferFactor times MaxPending is the maximum number of bytes that are buffered from the next node of a client. MaxPending is
-// the limit on the bytes that are queued for the client.
-const bufferFactor = 16
-
-// MessageReceived implements backend.SessionClient. It buffers messages of the next node, and cancels the handshake with that
-// node if the buffer would exceed its limit.
-func (n *nodeSession) MessageReceived(c *backend.NodeConn, f *codec.Frame) bool {
-	s := n.session
-	switch {
-	case s.phase == closed:
-		return false
-	case n == s.next:
-		if len(s.buffered)+len(f.Raw) > bufferFactor*s.frontend.settings().MaxPending {
-			c.CancelHandshake()
-			return false
-		}
-		s.buffered = append(s.buffered, f.Raw...)
-		return false
-	case n != s.current && !n.flushing:
-		return false
-	}
-	return s.shouldDeliver(n, f)
-}
-
 // Forward implements backend.SessionClient.
 func (n *nodeSession) Forward(c *backend.NodeConn, frames []byte) {
 	if s := n.session; s.phase != closed {
