Let the fake NATS cluster give a queue group's messages to a random member

Cause: the fake gave each message of a group to the first node that had a member, so that a session which is a member at two nodes never got messages from both.

Change: the members of each group are collected over all nodes, and one is drawn. Plain subscriptions are served as before.

Result: tests of the fake, and all NATS tests of the gateway and of the experiments, pass with the race detector.

--- a/internal/fakeserver/natscluster.go
+++ b/internal/fakeserver/natscluster.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math/rand/v2"
 	"strconv"
 	"sync"
 
@@ -95,20 +96,31 @@
 	return append(b, "\r\n"...)
 }
 
-// deliver queues a message published at a node for all subscribers, and for one subscriber of each queue group. It
-// returns the number of recipients. The sender may be nil. The caller holds the lock.
+// queueMember is a subscription that is a member of a queue group.
+type queueMember struct {
+	conn *natsConn
+	sid  string
+}
+
+// deliver queues a message published at a node for all subscribers, and for one random member of each queue group. It returns
+// the number of recipients. The sender may be nil. The caller holds the lock.
 func (c *NATSCluster) deliver(at *NATSNode, sender *natsConn, m message) (count int) {
-	servedGroups := map[string]bool{}
+	groups := map[string][]queueMember{}
 	for _, n := range c.nodes {
 		if n.dead || c.isolated && n != at {
 			continue
 		}
 		for conn := range n.conns {
 			if conn != sender || conn.echo {
-				count += conn.deliver(m, servedGroups)
+				count += conn.deliverPlain(m, groups)
 			}
 		}
 	}
+	for _, members := range groups {
+		chosen := members[rand.IntN(len(members))]
+		chosen.conn.deliver(m, chosen.sid)
+		count++
+	}
 	return count
 }
 
@@ -123,18 +135,6 @@
 	return s.maxMessages > 0 && s.delivered >= s.maxMessages
 }
 
-// accepts reports whether a message with this subject must be delivered to the subscription, and marks the queue group of
-// the subscription as served.
-func (s *natsSubscription) accepts(subject []byte, servedGroups map[string]bool) bool {
-	if !codec.MatchesSubject(s.subject, subject) || servedGroups[string(s.queueGroup)] {
-		return false
-	}
-	if len(s.queueGroup) > 0 {
-		servedGroups[string(s.queueGroup)] = true
-	}
-	return true
-}
-
 func newNATSSubscription(f *codec.Frame) *natsSubscription {
 	return &natsSubscription{subject: bytes.Clone(f.Subject), queueGroup: bytes.Clone(f.Queue)}
 }
--- a/internal/fakeserver/natsconn.go
+++ b/internal/fakeserver/natsconn.go
@@ -86,23 +86,33 @@
 	}
 }
 
-// deliver queues a message for each matching subscription and returns the number of these subscriptions.
-func (c *natsConn) deliver(m message, servedGroups map[string]bool) (count int) {
+// deliverPlain queues a message for each matching subscription without a queue group, and returns the number of these
+// subscriptions. It adds the matching members of queue groups to groups.
+func (c *natsConn) deliverPlain(m message, groups map[string][]queueMember) (count int) {
 	for sid, subscription := range c.subscriptions {
-		if !subscription.accepts(m.subject, servedGroups) {
-			continue
-		}
-		c.push(m.frame(sid), nil)
-		count++
-		subscription.delivered++
-		if subscription.isComplete() {
-			delete(c.subscriptions, sid)
-			c.node.cluster.log.subscriptionEnded(c, sid)
+		switch group := string(subscription.queueGroup); {
+		case !codec.MatchesSubject(subscription.subject, m.subject):
+		case group != "":
+			groups[group] = append(groups[group], queueMember{conn: c, sid: sid})
+		default:
+			c.deliver(m, sid)
+			count++
 		}
 	}
 	return count
 }
 
+// deliver queues a message for a subscription and ends the subscription if it is complete.
+func (c *natsConn) deliver(m message, sid string) {
+	c.push(m.frame(sid), nil)
+	subscription := c.subscriptions[sid]
+	subscription.delivered++
+	if subscription.isComplete() {
+		delete(c.subscriptions, sid)
+		c.node.cluster.log.subscriptionEnded(c, sid)
+	}
+}
+
 // writeLoop writes queued data until the connection ends, each time all that is queued with one call.
 func (c *natsConn) writeLoop() {
 	for {
