--- a/internal/nats/frontend/delivery.go
+++ b/internal/nats/frontend/delivery.go
@@ -68,7 +68,7 @@
 // shouldDeliver reports whether a message must be delivered to the client: it is not a duplicate, and its subscription has not
 // ended. It counts the message for deduplication and for the limit of its subscription.
 func (s *Session) shouldDeliver(n *nodeSession, f *codec.Frame) bool {
-	if s.dedup.Active() {
+	if s.dedup.Active() && !s.subscriptions.InQueueGroup(f.SID) {
 		if n != s.current || n.flushing || s.next != nil {
 			s.dedup.RecordOld(f.Raw)
 		} else if s.dedup.IsDuplicate(f.Raw) {
--- a/internal/nats/session/deduplicator.go
+++ b/internal/nats/session/deduplicator.go
@@ -6,6 +6,9 @@
 // messages to each other, so that both nodes deliver the same message. The Deduplicator counts the messages of the old node
 // by hash. Each of them makes one identical message of the new node a duplicate.
 //
+// Messages of a queue group must not be passed to the Deduplicator. The session is a member of the group at both nodes, and the
+// cluster delivers each message to one member, so that identical messages of the two nodes are different messages.
+//
 // In one case a message is treated as a duplicate although only the new node delivered it: when the old node alone delivered
 // an identical message while the subscriptions at the new node were being set up.
 //
--- a/internal/nats/session/subscriptions.go
+++ b/internal/nats/session/subscriptions.go
@@ -91,6 +91,12 @@
 	return true
 }
 
+// InQueueGroup reports whether a subscription is a member of a queue group. It returns false for an unknown SID.
+func (s *Subscriptions) InQueueGroup(sid []byte) bool {
+	sub := s.bySID[string(sid)]
+	return sub != nil && len(sub.Queue) > 0
+}
+
 // Match returns the oldest subscription whose subject matches, or nil if there is none.
 func (s *Subscriptions) Match(subject []byte) *Subscription {
 	for _, sub := range s.ordered {
--- a/internal/nats/session/subscriptions_test.go
+++ b/internal/nats/session/subscriptions_test.go
@@ -54,3 +54,19 @@
 		t.Error("the subscription still exists after UNSUB")
 	}
 }
+
+// Messages of a subscription are never duplicates while it is a member of a queue group. A SUB with the same SID replaces it.
+func TestInQueueGroup(t *testing.T) {
+	var s Subscriptions
+	s.Add([]byte("jobs"), []byte("workers"), []byte("1"))
+	s.Add([]byte("jobs"), nil, []byte("2"))
+	s.Add([]byte("jobs"), []byte("workers"), []byte("3"))
+	s.Add([]byte("jobs"), nil, []byte("3"))
+	s.Add([]byte("jobs"), []byte("workers"), []byte("4"))
+	s.Unsubscribe([]byte("4"), 0)
+	for sid, want := range map[string]bool{"1": true, "2": false, "3": false, "4": false, "unknown": false} {
+		if got := s.InQueueGroup([]byte(sid)); got != want {
+			t.Errorf("SID %s: got %t, want %t", sid, got, want)
+		}
+	}
+}
