Deliver a queue group's messages of a set-up that failed

The session was moving, and the set-up at the node that gave them failed afterwards (not confirmed in time, lost, or its buffer full).

Cause: what the next node delivers before the switch is buffered. AppendHandshake, nodeRejected and nodeLost threw the buffer away, and a message that did not fit was dropped, as if the old node delivered the same. It does not deliver those of a queue group.

Change: all ends of a set-up go through Session.discardBuffered, which delivers the messages of queue groups. They stay buffered while more than max-pending is queued for the client, and a full buffer takes one message of a group and no more, so that memory stays bounded. Why this works: nothing else empties the buffer but the switch, which delivers it. Rejected: to deliver such messages as they come. The node's PONG comes behind them, so that a client that does not read would stop its own move.

--- a/gateway/nats_queue_group_test.go
+++ b/gateway/nats_queue_group_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"fmt"
 	"net"
 	"slices"
 	"strings"
@@ -133,6 +134,61 @@
 	}
 }
 
+// Guards against messages of a queue group that are lost because the node that delivered them does not confirm the handshake in
+// time, so that the session moves to another node.
+func TestNATSAbandonedHandshakeDeliversMessagesOfAQueueGroup(t *testing.T) {
+	for _, kind := range subscriptionKinds {
+		t.Run(kind.name, func(t *testing.T) {
+			m := startMigration(t, 3, kind.frame, "")
+			m.publish(m.next, messagesAtEachNode)
+			other := m.awaitHandshake(m.draining, m.next)
+			m.publish(m.draining, messagesAtEachNode)
+			m.publish(other, messagesAtEachNode)
+			want := messagesAtEachNode // all three nodes deliver the same messages
+			if kind.isQueueGroup {
+				want = 3 * messagesAtEachNode
+			}
+			m.expectMessages(want)
+		})
+	}
+}
+
+// Guards against messages of a queue group that are lost because no other node takes the session: its client is closed during the
+// first set-up, or after set-ups that failed.
+func TestNATSFailedMigrationDeliversMessagesOfAQueueGroup(t *testing.T) {
+	for _, moveWithin := range []string{"500ms", "2500ms"} { // a node has 1 s for a handshake
+		for _, kind := range subscriptionKinds {
+			t.Run(fmt.Sprint(kind.name, " ", moveWithin), func(t *testing.T) {
+				m := startMigration(t, 2, kind.frame, fmt.Sprintf("(move-within %q)", moveWithin))
+				m.publish(m.next, messagesAtEachNode)
+				want := 0
+				if kind.isQueueGroup {
+					want = messagesAtEachNode
+				}
+				m.expectMessagesBefore("-ERR 'Stale Connection'\r\n", want)
+			})
+		}
+	}
+}
+
+// Guards against the loss of a message of a queue group that does not fit into the buffer for the next node's messages. The gateway
+// abandons that node then.
+func TestNATSFullBufferDeliversMessageOfAQueueGroup(t *testing.T) {
+	for _, kind := range subscriptionKinds {
+		t.Run(kind.name, func(t *testing.T) {
+			m := startMigration(t, 3, kind.frame, "(max-pending 4096)")
+			m.body = strings.Repeat("x", 100_000) // the buffer has 16 times max-pending
+			m.publish(m.next, 1)
+			m.awaitHandshake(m.draining, m.next)
+			want := 0
+			if kind.isQueueGroup {
+				want = 1
+			}
+			m.expectMessages(want)
+		})
+	}
+}
+
 // Guards against any loss of a queue group's messages while sessions move: the client must receive each message that a node has
 // delivered to its session.
 func TestNATSQueueGroupLosesNothingWhileNodesDrain(t *testing.T) {
--- a/internal/nats/frontend/delivery.go
+++ b/internal/nats/frontend/delivery.go
@@ -10,7 +10,7 @@
 const bufferFactor = 16
 
 // MessageReceived implements backend.SessionClient. It buffers messages of the next node, and cancels the handshake with that
-// node if the buffer would exceed its limit.
+// node if the buffer exceeds its limit.
 func (n *nodeSession) MessageReceived(c *backend.NodeConn, f *codec.Frame) bool {
 	s := n.session
 	switch {
@@ -26,12 +26,16 @@
 	return s.shouldDeliver(n, f)
 }
 
-// bufferMessage holds a message of the next node until the session has switched to that node.
+// bufferMessage holds a message of the next node until the session has switched to that node. If the buffer is full, it cancels
+// the handshake. It then keeps the message only if no other node delivers it, and at most one such message.
 func (s *Session) bufferMessage(c *backend.NodeConn, f *codec.Frame) {
-	if len(s.buffered)+len(f.Raw) > bufferFactor*s.frontend.settings().MaxPending {
-		s.frontend.dropped.Setup.Add(1)
+	limit := bufferFactor * s.frontend.settings().MaxPending
+	if len(s.buffered)+len(f.Raw) > limit {
 		c.CancelHandshake()
-		return
+		if len(s.buffered) > limit || !s.subscriptions.InQueueGroup(f.SID) {
+			s.frontend.dropped.Setup.Add(1)
+			return
+		}
 	}
 	s.buffered = append(s.buffered, f.Raw...)
 }
@@ -60,9 +64,19 @@
 	})
 }
 
-// discardBuffered discards the messages of a node whose set-up did not complete.
+// discardBuffered discards the messages of a node whose set-up did not complete. It delivers those of queue groups, because no
+// other node delivers them. They stay buffered while too much data is queued for the client.
 func (s *Session) discardBuffered() {
-	s.takeBuffered(func(*codec.Frame) { s.frontend.dropped.Setup.Add(1) })
+	s.takeBuffered(func(f *codec.Frame) {
+		switch {
+		case !s.subscriptions.InQueueGroup(f.SID):
+			s.frontend.dropped.Setup.Add(1)
+		case s.conn.PendingBytes() > s.frontend.settings().MaxPending:
+			s.buffered = append(s.buffered, f.Raw...)
+		case s.countMessage(f):
+			s.send(f.Raw)
+		}
+	})
 }
 
 // shouldDeliver reports whether a message must be delivered to the client: it is not a duplicate, and its subscription has not
@@ -76,6 +90,12 @@
 			return false
 		}
 	}
+	return s.countMessage(f)
+}
+
+// countMessage counts a message for the limit of its subscription. It returns false if the subscription has ended, so that the
+// message must be dropped.
+func (s *Session) countMessage(f *codec.Frame) bool {
 	if s.subscriptions.HasLimits() && !s.subscriptions.Deliver(f.SID) {
 		s.frontend.dropped.Ended.Add(1)
 		return false
--- a/internal/nats/frontend/node_session.go
+++ b/internal/nats/frontend/node_session.go
@@ -85,8 +85,7 @@
 	}
 }
 
-// AppendHandshake implements backend.SessionClient. It discards the messages that were buffered during an earlier attempt,
-// which has failed.
+// AppendHandshake implements backend.SessionClient. It ends an earlier attempt, which has failed, with its buffered messages.
 func (n *nodeSession) AppendHandshake(b []byte) []byte {
 	s := n.session
 	s.discardBuffered()
--- a/internal/nats/frontend/session.go
+++ b/internal/nats/frontend/session.go
@@ -117,6 +117,7 @@
 	if s.phase == closed {
 		return
 	}
+	s.discardBuffered()
 	if errorText != "" {
 		s.send(codec.AppendErr(nil, errorText))
 	}
