Take the current node for the old one as long as a NATS session migrates

What callers saw: a session whose move did not succeed at once stayed at its draining node, and messages of that node that were equal to earlier ones did not arrive.

Cause: Session.shouldDeliver took the current node for the old one where it was flushed or a next node was being set up. After a rejection neither holds, and the current node's messages were compared with its own earlier ones.

Change: the condition is Session.migrating, which begins with the move and ends with the switch. Why this works: until the switch every message is the old node's, and after it the new node is the current one.

All NATS tests of the gateway pass with the race detector.

--- a/gateway/nats_queue_group_test.go
+++ b/gateway/nats_queue_group_test.go
@@ -189,6 +189,23 @@
 	}
 }
 
+// Guards against messages that are lost because the next node fails while it is being set up: the session stays at the draining
+// node, and the gateway takes that node's messages for duplicates of its own earlier ones.
+func TestNATSRejectedMigrationDeliversEqualMessages(t *testing.T) {
+	for _, kind := range subscriptionKinds {
+		t.Run(kind.name, func(t *testing.T) {
+			m := startMigration(t, 2, kind.frame, `(move-within "2s")`)
+			m.publish(m.draining, messagesAtEachNode)
+			m.fleet.nodes[m.next].Kill()
+			for range messagesAtEachNode {
+				time.Sleep(5 * time.Millisecond) // longer than a rejection takes, shorter than the delay after it
+				m.publish(m.draining, 1)
+			}
+			m.expectMessagesBefore("-ERR 'Stale Connection'\r\n", 2*messagesAtEachNode)
+		})
+	}
+}
+
 // Guards against any loss of a queue group's messages while sessions move: the client must receive each message that a node has
 // delivered to its session.
 func TestNATSQueueGroupLosesNothingWhileNodesDrain(t *testing.T) {
--- a/internal/nats/frontend/delivery.go
+++ b/internal/nats/frontend/delivery.go
@@ -83,7 +83,7 @@
 // ended. It counts the message for deduplication and for the limit of its subscription.
 func (s *Session) shouldDeliver(n *nodeSession, f *codec.Frame) bool {
 	if s.dedup.Active() && !s.subscriptions.InQueueGroup(f.SID) {
-		if n != s.current || n.flushing || s.next != nil {
+		if n != s.current || s.migrating { // n is the old node
 			s.dedup.RecordOld(f.Raw)
 		} else if s.dedup.IsDuplicate(f.Raw) {
 			s.frontend.dropped.Duplicate.Add(1)
