--- a/internal/cluster/recovery/digest_test.go
+++ b/internal/cluster/recovery/digest_test.go
@@ -4,24 +4,19 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
-	"flag"
 	"fmt"
 	"hash"
 	"maps"
 	"math/rand/v2"
-	"os"
-	"path/filepath"
 	"slices"
 	"strconv"
-	"strings"
 	"testing"
 	"time"
 
 	"example.org/milletvane/internal/cluster/recovery"
+	"example.org/milletvane/internal/golden"
 )
 
-var updateDigests = flag.Bool("update", false, "write the digests of the generated event streams anew")
-
 const (
 	streamSeeds = 400 // each with one instance and events in any order
 	fleetSeeds  = 200 // each with several instances that exchange their states
@@ -56,35 +51,7 @@
 	if decisions < int(seeds) {
 		t.Errorf("got %d decisions from %d seeds, want at least one from each: the streams are too short", decisions, seeds)
 	}
-	name := filepath.Join("testdata", file)
-	if *updateDigests {
-		if err := os.MkdirAll("testdata", 0o777); err != nil {
-			t.Fatal(err)
-		}
-		if err := os.WriteFile(name, []byte(strings.Join(lines, "\n")+"\n"), 0o666); err != nil {
-			t.Fatal(err)
-		}
-		return
-	}
-	text, err := os.ReadFile(name)
-	if err != nil {
-		t.Fatal(err)
-	}
-	want := strings.Split(strings.TrimSpace(string(text)), "\n")
-	if len(want) != len(lines) {
-		t.Fatalf("%s: got %d lines, want one for each of %d seeds", name, len(want), len(lines))
-	}
-	differ := 0
-	for i := range lines {
-		if lines[i] != want[i] {
-			if differ++; differ <= 5 {
-				t.Errorf("%s: got %q, want %q", name, lines[i], want[i])
-			}
-		}
-	}
-	if differ > 0 {
-		t.Errorf("%s: digests of %d of %d seeds differ", name, differ, len(lines))
-	}
+	golden.CheckLines(t, file, lines)
 }
 
 // transcript hashes the output of one seed. Its binary encoding does not depend on the names of types or fields.
