--- a/internal/lineproto/backend/backend.go
+++ b/internal/lineproto/backend/backend.go
@@ -35,8 +35,8 @@
 	ServerEnded(reset bool)
 }
 
-// Poster accepts events for the engine.
-type Poster interface {
+// EventSink accepts events for the engine.
+type EventSink interface {
 	Post(engine.Event)
 	TryPost(engine.Event) // may drop the event instead of queueing it
 }
@@ -44,7 +44,7 @@
 // Backend implements engine.Backend and engine.LoadPoller.
 type Backend struct {
 	options Options
-	events  Poster
+	events  EventSink
 	group   *reactor.Group
 	pollers map[balancer.ServerID]*loadPoller // only the engine's goroutine uses it
 
@@ -69,7 +69,7 @@
 
 // Connect sets the receiver of events and the group whose loops drive the connections. group may be nil if only load polls
 // are used.
-func (b *Backend) Connect(events Poster, group *reactor.Group) {
+func (b *Backend) Connect(events EventSink, group *reactor.Group) {
 	b.events, b.group = events, group
 	if group != nil {
 		b.pollConns.descriptors = group
--- a/internal/lineproto/backend/helpers_test.go
+++ b/internal/lineproto/backend/helpers_test.go
@@ -12,7 +12,7 @@
 // testTimeout limits each wait of a test.
 const testTimeout = 10 * time.Second
 
-// eventQueue is a Poster that drops no event.
+// eventQueue is an EventSink that drops no event.
 type eventQueue chan engine.Event
 
 func (q eventQueue) Post(ev engine.Event)    { q <- ev }
--- a/internal/lineproto/backend/loadpoll.go
+++ b/internal/lineproto/backend/loadpoll.go
@@ -22,7 +22,7 @@
 type loadPoller struct {
 	server   balancer.ServerID
 	addr     string
-	events   Poster
+	events   EventSink
 	conns    *pollConns
 	requests chan struct{}
 }
